Add the design, the shared packages and the build

The packages base, wire and http hold what all parts share: result codes, model structures, settings and tables with complete mistake lists, timer service, event loop, Cap'n Proto schemas with committed generated code, the client of the control leader and the HTTP listener with limits. The public headers of consensus, placement, control and entry fix the interfaces so that the parts can be built side by side.

--- /dev/null
+++ b/packages/base/include/base/clock.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <chrono>
+
+namespace persimmon {
+
+using std::chrono::milliseconds;
+
+// Monotonic time. Cores receive it as an argument and never read a clock themselves.
+using time_point = std::chrono::time_point<std::chrono::steady_clock, std::chrono::microseconds>;
+
+// Wall-clock time in milliseconds since the Unix epoch, for records shown to people.
+using wall_ms = std::chrono::milliseconds;
+
+} // namespace persimmon
--- /dev/null
+++ b/packages/base/include/base/settings.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ini.h"
+#include "base/model.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmon {
+
+enum class instance_role : std::uint8_t { Control, Entry };
+
+// Address of one control voter.
+struct voter_address
+{
+    std::uint32_t id = 0;
+    std::string rpc; // IP:port for calls between the system's processes
+    std::string http; // IP:port for operators
+
+    friend bool operator==(const voter_address &, const voter_address &) = default;
+};
+
+// Settings of one process, read from an INI file. Durations are in milliseconds, sizes in bytes.
+struct settings
+{
+    std::string instanceId;
+    location place;
+    std::string logLevel = "info";
+
+    std::string httpListen;
+    std::uint32_t httpThreads = 4;
+    std::uint64_t maxHeaderBytes = 16384;
+    std::uint64_t maxBodyBytes = 1048576;
+    milliseconds httpTimeout {30000};
+
+    std::vector<voter_address> voters;
+
+    std::uint32_t voterId = 0;
+    std::string rpcListen;
+    std::string dataFolder;
+    milliseconds electionTimeout {300};
+    milliseconds heartbeat {60};
+    std::uint64_t snapshotEntries = 10000;
+
+    milliseconds syncWait {500};
+    milliseconds configurationLease {2000};
+    milliseconds announcePeriod {1000};
+    milliseconds upstreamLease {3000};
+    milliseconds taskLease {10000};
+    milliseconds drainDelay {1000};
+    std::uint32_t queueLength = 256;
+    std::uint32_t retryPercent = 10;
+    std::string slotSharing = "lending";
+
+    std::string placementStrategy = "buddy";
+    double completionWeight = 0.5;
+    double fragmentationWeight = 0.5;
+    milliseconds checkpointDeadline {2000};
+};
+
+// Settings with all mistakes found; the settings are usable only without mistakes.
+struct settings_outcome
+{
+    settings values;
+    std::vector<ini_mistake> mistakes;
+};
+
+// Describes one settings key for the reference in docs/operations.md.
+struct settings_key
+{
+    std::string_view section;
+    std::string_view key;
+    std::string_view allowed;
+    std::string_view defaultValue; // empty: required
+    std::string_view text;
+};
+
+// Returns all keys of the settings file in the order of the reference.
+std::vector<settings_key> settingsReference();
+
+// Reads settings for a role. Lists every mistake: unknown section or key, duplicate, wrong type,
+// out of range, missing.
+settings_outcome parseSettings(std::string_view text, instance_role role);
+
+} // namespace persimmon
--- /dev/null
+++ b/packages/base/include/base/tables.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/ini.h"
+#include "base/model.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmon {
+
+// Tables with all mistakes found; the tables are usable only without mistakes.
+struct tables_outcome
+{
+    tables values;
+    std::vector<ini_mistake> mistakes;
+};
+
+// Reads the operators' tables: sections [route NAME], [pool NAME] and [workspace NAME]. Lists every
+// mistake, including routes that name an unknown pool or workspace.
+tables_outcome parseTables(std::string_view text);
+
+// Writes tables in the format that parseTables() reads, in the order of the rows.
+std::string formatTables(const tables &values);
+
+// One changed row between two versions of the tables.
+struct table_change
+{
+    char sign = '+'; // '+' added, '-' removed, '~' changed
+    std::string row; // "route NAME", "pool NAME" or "workspace NAME"
+
+    friend bool operator==(const table_change &, const table_change &) = default;
+};
+
+// Lists the rows that differ, in the order routes, pools, workspaces.
+std::vector<table_change> diffTables(const tables &before, const tables &after);
+
+} // namespace persimmon
--- /dev/null
+++ b/packages/base/src/settings.cc
@@ -0,0 +1,378 @@
+#include "base/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <optional>
+
+namespace persimmon {
+
+namespace {
+
+enum class needed_by : std::uint8_t { Nobody, Both, Control, Entry };
+
+// Sets one field from its text; returns what is allowed when the text is refused.
+using field_setter = std::function<std::optional<std::string>(settings &, const std::string &)>;
+
+struct field
+{
+    settings_key description;
+    needed_by need;
+    field_setter set;
+};
+
+field_setter text(std::string settings::*member)
+{
+    return [member](settings &target, const std::string &value) -> std::optional<std::string> {
+        if (value.empty())
+            return "a non-empty text";
+        target.*member = value;
+        return std::nullopt;
+    };
+}
+
+field_setter placeText(std::string location::*member)
+{
+    return [member](settings &target, const std::string &value) -> std::optional<std::string> {
+        if (value.empty())
+            return "a non-empty text";
+        target.place.*member = value;
+        return std::nullopt;
+    };
+}
+
+bool isAddress(std::string_view value)
+{
+    const auto colon = value.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return false;
+    const auto host = value.substr(0, colon);
+    const auto isIpCharacter = [](char c) { return (c >= '0' && c <= '9') || c == '.'; };
+    return std::ranges::all_of(host, isIpCharacter)
+            && !failed(parseNumber(value.substr(colon + 1), 1, 65535));
+}
+
+field_setter address(std::string settings::*member)
+{
+    return [member](settings &target, const std::string &value) -> std::optional<std::string> {
+        if (!isAddress(value))
+            return "IP:port";
+        target.*member = value;
+        return std::nullopt;
+    };
+}
+
+template <typename Number>
+field_setter number(Number settings::*member, std::uint64_t low, std::uint64_t high)
+{
+    return [member, low, high](settings &target,
+                               const std::string &value) -> std::optional<std::string> {
+        const auto parsed = parseNumber(value, low, high);
+        if (failed(parsed))
+            return errorOf(parsed).detail;
+        target.*member = static_cast<Number>(valueOf(parsed));
+        return std::nullopt;
+    };
+}
+
+// Percent in the file, fraction in the settings.
+field_setter percent(double settings::*member)
+{
+    return [member](settings &target, const std::string &value) -> std::optional<std::string> {
+        const auto parsed = parseNumber(value, 0, 100);
+        if (failed(parsed))
+            return errorOf(parsed).detail;
+        target.*member = static_cast<double>(valueOf(parsed)) / 100;
+        return std::nullopt;
+    };
+}
+
+field_setter duration(milliseconds settings::*member, std::uint64_t low, std::uint64_t high)
+{
+    return [member, low, high](settings &target,
+                               const std::string &value) -> std::optional<std::string> {
+        const auto parsed = parseNumber(value, low, high);
+        if (failed(parsed))
+            return errorOf(parsed).detail;
+        target.*member = milliseconds {valueOf(parsed)};
+        return std::nullopt;
+    };
+}
+
+field_setter choice(std::string settings::*member, std::vector<std::string> allowed)
+{
+    return [member, allowed = std::move(allowed)](
+                   settings &target, const std::string &value) -> std::optional<std::string> {
+        if (std::ranges::find(allowed, value) == allowed.end()) {
+            std::string list = "one of";
+            for (const auto &name : allowed)
+                list += " " + name;
+            return list;
+        }
+        target.*member = value;
+        return std::nullopt;
+    };
+}
+
+constexpr std::string_view votersAllowed = "1 to 7 of ID@RPC_IP:port/HTTP_IP:port, comma separated";
+
+std::string_view trimSpaces(std::string_view value)
+{
+    while (value.starts_with(' '))
+        value.remove_prefix(1);
+    while (value.ends_with(' '))
+        value.remove_suffix(1);
+    return value;
+}
+
+std::optional<voter_address> parseVoter(std::string_view item)
+{
+    const auto at = item.find('@');
+    const auto slash = item.find('/');
+    if (at == std::string_view::npos || slash == std::string_view::npos || slash < at)
+        return std::nullopt;
+    const auto id = parseNumber(item.substr(0, at), 1, 1000);
+    const auto rpc = item.substr(at + 1, slash - at - 1);
+    const auto http = item.substr(slash + 1);
+    if (failed(id) || !isAddress(rpc) || !isAddress(http))
+        return std::nullopt;
+    return voter_address {static_cast<std::uint32_t>(valueOf(id)), std::string(rpc),
+                          std::string(http)};
+}
+
+std::optional<std::string> setVoters(settings &target, const std::string &value)
+{
+    std::vector<voter_address> voters;
+    std::string_view rest = value;
+    while (true) {
+        const auto comma = std::min(rest.find(','), rest.size());
+        const auto voter = parseVoter(trimSpaces(rest.substr(0, comma)));
+        if (!voter || std::ranges::find(voters, voter->id, &voter_address::id) != voters.end())
+            return std::string(votersAllowed);
+        voters.push_back(*voter);
+        if (comma == rest.size())
+            break;
+        rest.remove_prefix(comma + 1);
+    }
+    if (voters.size() > 7)
+        return std::string(votersAllowed);
+    target.voters = std::move(voters);
+    return std::nullopt;
+}
+
+const std::vector<field> &fields()
+{
+    using s = settings;
+    using enum needed_by;
+    static const std::vector<field> table {
+            {{"instance", "id", "text", "", "unique name of the process"},
+             Both,
+             text(&s::instanceId)},
+            {{"instance", "region", "text", "", "region of the instance"},
+             Both,
+             placeText(&location::region)},
+            {{"instance", "zone", "text", "", "availability zone of the instance"},
+             Both,
+             placeText(&location::zone)},
+            {{"instance", "rack", "text", "-", "rack of the instance"},
+             Nobody,
+             placeText(&location::rack)},
+            {{"instance", "log_level", "trace, debug, info, warn, error, off", "info",
+              "level of log lines"},
+             Nobody,
+             choice(&s::logLevel, {"trace", "debug", "info", "warn", "error", "off"})},
+            {{"http", "listen", "IP:port", "",
+              "address for callers, upstreams, operators and metrics"},
+             Both,
+             address(&s::httpListen)},
+            {{"http", "threads", "2 to 16", "4", "threads of the HTTP library"},
+             Nobody,
+             number(&s::httpThreads, 2, 16)},
+            {{"http", "max_header_bytes", "1024 to 65536", "16384",
+              "limit of all header fields of a request"},
+             Nobody,
+             number(&s::maxHeaderBytes, 1024, 65536)},
+            {{"http", "max_body_bytes", "1024 to 16777216", "1048576",
+              "limit of a request or answer body"},
+             Nobody,
+             number(&s::maxBodyBytes, 1024, 16777216)},
+            {{"http", "timeout_ms", "100 to 600000", "30000",
+              "time limit for receiving one request"},
+             Nobody,
+             duration(&s::httpTimeout, 100, 600000)},
+            {{"control", "voters", votersAllowed, "", "all voters of the control group"},
+             Both,
+             setVoters},
+            {{"control", "voter_id", "1 to 1000", "", "number of this voter"},
+             Control,
+             number(&s::voterId, 1, 1000)},
+            {{"control", "rpc_listen", "IP:port", "",
+              "address for calls between the system's processes"},
+             Control,
+             address(&s::rpcListen)},
+            {{"control", "data_folder", "path", "", "folder of the replicated log and snapshots"},
+             Control,
+             text(&s::dataFolder)},
+            {{"control", "election_timeout_ms", "50 to 10000", "300",
+              "silence after which a voter starts an election"},
+             Nobody,
+             duration(&s::electionTimeout, 50, 10000)},
+            {{"control", "heartbeat_ms", "10 to 2000", "60", "period of the leader's heartbeats"},
+             Nobody,
+             duration(&s::heartbeat, 10, 2000)},
+            {{"control", "snapshot_entries", "100 to 1000000", "10000",
+              "log entries between snapshots"},
+             Nobody,
+             number(&s::snapshotEntries, 100, 1000000)},
+            {{"control", "checkpoint_deadline_ms", "100 to 600000", "2000",
+              "time a preempted task has for its checkpoint"},
+             Nobody,
+             duration(&s::checkpointDeadline, 100, 600000)},
+            {{"sync", "wait_ms", "50 to 1500", "500", "longest wait of one sync call"},
+             Nobody,
+             duration(&s::syncWait, 50, 1500)},
+            {{"sync", "configuration_lease_ms", "500 to 2500", "2000",
+              "time an entry serves without contact to control"},
+             Nobody,
+             duration(&s::configurationLease, 500, 2500)},
+            {{"upstreams", "announce_period_ms", "100 to 10000", "1000", "period of announcements"},
+             Nobody,
+             duration(&s::announcePeriod, 100, 10000)},
+            {{"upstreams", "lease_ms", "300 to 60000", "3000",
+              "time an upstream counts as present after an announcement"},
+             Nobody,
+             duration(&s::upstreamLease, 300, 60000)},
+            {{"upstreams", "task_lease_ms", "1000 to 600000", "10000",
+              "time a task runs without a renewed lease"},
+             Nobody,
+             duration(&s::taskLease, 1000, 600000)},
+            {{"entry", "drain_delay_ms", "0 to 60000", "1000",
+              "wait between readiness off and closing the listener"},
+             Nobody,
+             duration(&s::drainDelay, 0, 60000)},
+            {{"entry", "queue_length", "1 to 100000", "256", "queued requests of one workspace"},
+             Nobody,
+             number(&s::queueLength, 1, 100000)},
+            {{"entry", "retry_percent", "0 to 100", "10", "retries as a share of requests"},
+             Nobody,
+             number(&s::retryPercent, 0, 100)},
+            {{"entry", "slot_sharing", "fixed, lending", "lending",
+              "how entries share the slots of an upstream"},
+             Nobody,
+             choice(&s::slotSharing, {"fixed", "lending"})},
+            {{"placement", "strategy", "first_fit, best_fit, buddy", "buddy",
+              "strategy that places gangs"},
+             Nobody,
+             choice(&s::placementStrategy, {"first_fit", "best_fit", "buddy"})},
+            {{"placement", "completion_weight", "0 to 100", "50",
+              "weight of completion time, percent"},
+             Nobody,
+             percent(&s::completionWeight)},
+            {{"placement", "fragmentation_weight", "0 to 100", "50",
+              "weight of fragmentation, percent"},
+             Nobody,
+             percent(&s::fragmentationWeight)},
+    };
+    return table;
+}
+
+const field *findField(std::string_view section, std::string_view key)
+{
+    const auto matches = [&](const field &item) {
+        return item.description.section == section && item.description.key == key;
+    };
+    const auto found = std::ranges::find_if(fields(), matches);
+    return found == fields().end() ? nullptr : &*found;
+}
+
+bool isKnownSection(std::string_view section)
+{
+    const auto matches = [&](const field &item) { return item.description.section == section; };
+    return std::ranges::any_of(fields(), matches);
+}
+
+bool isNeeded(needed_by need, instance_role role)
+{
+    return need == needed_by::Both || (need == needed_by::Control && role == instance_role::Control)
+            || (need == needed_by::Entry && role == instance_role::Entry);
+}
+
+void readSection(const ini_section &section, settings_outcome &outcome)
+{
+    if (!isKnownSection(section.name)) {
+        outcome.mistakes.push_back({section.name, "", "",
+                                    "instance, http, control, sync, upstreams, entry or placement",
+                                    result_code::UnknownField});
+        return;
+    }
+    for (const auto &[key, value] : section.entries) {
+        const auto *known = findField(section.name, key);
+        if (known == nullptr) {
+            outcome.mistakes.push_back({section.name, key, value, "a key of the settings reference",
+                                        result_code::UnknownField});
+            continue;
+        }
+        if (const auto allowed = known->set(outcome.values, value))
+            outcome.mistakes.push_back(
+                    {section.name, key, value, *allowed, result_code::InvalidValue});
+    }
+}
+
+void listMissing(const ini_document &document, instance_role role, settings_outcome &outcome)
+{
+    for (const auto &item : fields()) {
+        if (!isNeeded(item.need, role))
+            continue;
+        const auto &[section, key, allowed, defaultValue, text] = item.description;
+        const auto *present = document.find(section);
+        if (present == nullptr || present->find(key) == nullptr)
+            outcome.mistakes.push_back({std::string(section), std::string(key), "",
+                                        std::string(allowed), result_code::MissingField});
+    }
+}
+
+// Checks rules between keys that single ranges can't express.
+void checkRelations(instance_role role, settings_outcome &outcome)
+{
+    const auto &values = outcome.values;
+    if (values.heartbeat * 3 > values.electionTimeout)
+        outcome.mistakes.push_back(
+                {"control", "heartbeat_ms", std::to_string(values.heartbeat.count()),
+                 "at most a third of election_timeout_ms", result_code::InvalidValue});
+    if (values.syncWait * 2 > values.configurationLease)
+        outcome.mistakes.push_back({"sync", "wait_ms", std::to_string(values.syncWait.count()),
+                                    "at most half of configuration_lease_ms",
+                                    result_code::InvalidValue});
+    if (values.announcePeriod * 2 > values.upstreamLease)
+        outcome.mistakes.push_back({"upstreams", "announce_period_ms",
+                                    std::to_string(values.announcePeriod.count()),
+                                    "at most half of lease_ms", result_code::InvalidValue});
+    const auto known = std::ranges::find(values.voters, values.voterId, &voter_address::id);
+    if (role == instance_role::Control && values.voterId != 0 && known == values.voters.end())
+        outcome.mistakes.push_back({"control", "voter_id", std::to_string(values.voterId),
+                                    "a number listed in voters", result_code::InvalidValue});
+}
+
+} // namespace
+
+std::vector<settings_key> settingsReference()
+{
+    std::vector<settings_key> reference;
+    for (const auto &item : fields())
+        reference.push_back(item.description);
+    return reference;
+}
+
+settings_outcome parseSettings(std::string_view text, instance_role role)
+{
+    const auto document = parseIni(text);
+    settings_outcome outcome;
+    outcome.mistakes = document.mistakes;
+    for (const auto &section : document.sections)
+        readSection(section, outcome);
+    listMissing(document, role, outcome);
+    checkRelations(role, outcome);
+    return outcome;
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/packages/consensus/include/consensus/storage.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "base/result.h"
+#include "consensus/state_machine.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace persimmon::consensus {
+
+enum class entry_kind : std::uint8_t { Command, Membership, Barrier };
+
+// One entry of the replicated log.
+struct log_entry
+{
+    log_index index = 0;
+    term_number term = 0;
+    entry_kind kind = entry_kind::Command;
+    byte_buffer payload;
+
+    friend bool operator==(const log_entry &, const log_entry &) = default;
+};
+
+// Vote of a node; must be durable before it is sent.
+struct vote_record
+{
+    term_number term = 0;
+    voter_id votedFor = 0;
+
+    friend bool operator==(const vote_record &, const vote_record &) = default;
+};
+
+// State machine snapshot with the position and membership it stands for.
+struct snapshot_record
+{
+    log_index index = 0;
+    term_number term = 0;
+    std::vector<voter_id> voters;
+    byte_buffer state;
+
+    friend bool operator==(const snapshot_record &, const snapshot_record &) = default;
+};
+
+// What a node finds when it starts.
+struct stored_state
+{
+    bool fresh = false; // the folder never held a log
+    bool damaged = false; // a file was lost or failed its checksum: rejoin as a learner
+    vote_record vote;
+    snapshot_record snapshot; // index 0: none
+    std::vector<log_entry> entries;
+};
+
+// Durable files of one node. Writes are queued; nothing counts as durable before the completion of
+// a sync() that was called after the write. Completions run on the thread that owns the node.
+class storage
+{
+public:
+    virtual ~storage() = default;
+
+    // Reads all files. A torn tail of the log is cut. Fails with StorageFailed.
+    virtual result<stored_state> load() = 0;
+
+    virtual void saveVote(const vote_record &vote) = 0;
+
+    // Appends entries; entries at or after the first index are dropped first.
+    virtual void append(std::span<const log_entry> entries) = 0;
+
+    // Replaces the snapshot and drops the log entries it covers.
+    virtual void saveSnapshot(const snapshot_record &snapshot) = 0;
+
+    // Makes all earlier writes durable. Several calls may share one sync (group commit).
+    virtual void sync(std::function<void(status)> done) = 0;
+};
+
+// Runs a function on the thread that owns the node.
+using post_function = std::function<void(std::function<void()>)>;
+
+// Opens the files under a data folder; syncs run on one thread of the storage. The folder is
+// created. Fails with StorageFailed, also when another process holds the folder.
+result<std::unique_ptr<storage>> openFileStorage(const std::string &folder, post_function post);
+
+} // namespace persimmon::consensus
--- /dev/null
+++ b/packages/consensus/src/placeholder.cc
@@ -0,0 +1,2 @@
+#include "consensus/node.h"
+#include "consensus/storage.h"
--- /dev/null
+++ b/packages/control/src/placeholder.cc
@@ -0,0 +1,1 @@
+#include "control/coordinator.h"
--- /dev/null
+++ b/packages/entry/src/placeholder.cc
@@ -0,0 +1,1 @@
+#include "base/sync.h"
--- /dev/null
+++ b/packages/http/include/http/server.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "wire/event_loop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmon::http {
+
+struct header
+{
+    std::string name;
+    std::string value;
+};
+
+// One received request with its whole body.
+struct request
+{
+    std::string method;
+    std::string path; // decoded, without the query
+    std::string query; // as received
+    std::vector<header> headers;
+    std::string body;
+
+    // Returns the value of a header field (names compare without case), or an empty text.
+    std::string_view find(std::string_view name) const;
+};
+
+struct response
+{
+    int status = 200;
+    std::string contentType = "application/json";
+    std::vector<header> headers;
+    std::string body;
+};
+
+// Returns the JSON response of a refusal: code number, name, detail, field and, for codes that can
+// be retried, Retry-After.
+response refusal(const error &reason);
+
+// Parses "name=value&..." and returns the decoded value of a name, or an empty text.
+std::string queryValue(std::string_view query, std::string_view name);
+
+struct server_options
+{
+    std::string address; // IP:port
+    std::size_t threads = 4;
+    std::uint64_t maxHeaderBytes = 16384;
+    std::uint64_t maxBodyBytes = 1048576;
+    milliseconds timeout {30000}; // for receiving one request
+};
+
+// HTTP/1.1 listener. Requests over the limits, with ambiguous framing or with a cut body never
+// reach the handler.
+class server
+{
+public:
+    // Answers one request; must be called once, on any thread.
+    using reply = std::function<void(response)>;
+
+    // Handles one request on the loop's thread.
+    using handler = std::function<void(request, reply)>;
+
+    // Starts to listen. Fails with StorageFailed when the address can't be bound.
+    static result<std::unique_ptr<server>> listen(wire::event_loop &loop,
+                                                  const server_options &options, handler onRequest);
+
+    virtual ~server() = default;
+
+    // Stops to listen after requests in progress have been answered. Blocks; call it from a thread
+    // other than the loop's, or when no request is in progress.
+    virtual void close() = 0;
+};
+
+} // namespace persimmon::http
--- /dev/null
+++ b/packages/http/src/server.cc
@@ -0,0 +1,250 @@
+#include "http/server.h"
+
+#include "base/log.h"
+
+#include <cpprest/http_listener.h>
+#include <cpprest/json.h>
+#include <pplx/threadpool.h>
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <optional>
+
+namespace persimmon::http {
+
+namespace {
+
+using web::http::http_request;
+using web::http::http_response;
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    const auto same = [](char a, char b) { return std::tolower(a) == std::tolower(b); };
+    return std::ranges::equal(left, right, same);
+}
+
+// Initializes the library's thread pool once for the process; later sizes are ignored.
+void startThreads(std::size_t count)
+{
+    static std::once_flag once;
+    std::call_once(once, [count] { crossplat::threadpool::initialize_with_threads(count); });
+}
+
+void send(const http_request &message, response answer)
+{
+    http_response reply(static_cast<web::http::status_code>(answer.status));
+    reply.set_body(std::move(answer.body), answer.contentType);
+    for (const auto &field : answer.headers)
+        reply.headers().add(field.name, field.value);
+    // The caller may have gone; the library reports that by a failed task that nobody needs.
+    message.reply(reply).then([](const pplx::task<void> &done) {
+        try {
+            done.get();
+        } catch (const std::exception &failure) {
+            logFor("http")->debug("answer not delivered: {}", failure.what());
+        }
+    });
+}
+
+// Checks what the header fields show before any byte of the body is taken.
+std::optional<error> checkHeaders(const web::http::http_headers &headers,
+                                  const server_options &options)
+{
+    std::uint64_t bytes = 0;
+    for (const auto &[name, value] : headers)
+        bytes += name.size() + value.size();
+    if (bytes > options.maxHeaderBytes)
+        return error {result_code::HeadersTooLarge,
+                      "at most " + std::to_string(options.maxHeaderBytes) + " bytes",
+                      {},
+                      {}};
+    const bool chunked = headers.has("Transfer-Encoding");
+    if (!headers.has("Content-Length"))
+        return std::nullopt;
+    const auto length = headers.find("Content-Length")->second;
+    const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+    // The library joins repeated fields with a comma, so one check covers two lengths.
+    if (chunked || length.empty() || length.size() > 18 || !std::ranges::all_of(length, isDigit))
+        return error {result_code::AmbiguousFraming,
+                      "one Content-Length or chunks",
+                      "Content-Length",
+                      {}};
+    if (std::stoull(length) > options.maxBodyBytes)
+        return error {result_code::BodyTooLarge,
+                      "at most " + std::to_string(options.maxBodyBytes) + " bytes",
+                      {},
+                      {}};
+    return std::nullopt;
+}
+
+constexpr std::size_t readChunkBytes = 16384;
+
+struct body_reader
+{
+    concurrency::streams::istream stream;
+    concurrency::streams::container_buffer<std::string> buffer;
+    std::uint64_t limit;
+};
+
+// Reads a body up to the limit; the task's value tells whether the body stayed within it.
+pplx::task<bool> readBody(const std::shared_ptr<body_reader> &reader)
+{
+    return reader->stream.read(reader->buffer, readChunkBytes).then([reader](std::size_t count) {
+        if (reader->buffer.collection().size() > reader->limit)
+            return pplx::task_from_result(false);
+        if (count == 0)
+            return pplx::task_from_result(true);
+        return readBody(reader);
+    });
+}
+
+request toRequest(const http_request &message, std::string body)
+{
+    request converted;
+    converted.method = message.method();
+    const auto uri = message.relative_uri();
+    converted.path = web::uri::decode(uri.path());
+    converted.query = uri.query();
+    for (const auto &[name, value] : message.headers())
+        converted.headers.push_back({name, value});
+    converted.body = std::move(body);
+    return converted;
+}
+
+class rest_server : public server
+{
+public:
+    rest_server(wire::event_loop &loop, server_options options, handler onRequest)
+        : loop_(loop)
+        , options_(std::move(options))
+        , onRequest_(std::move(onRequest))
+    {
+    }
+
+    ~rest_server() override { rest_server::close(); }
+
+    status open()
+    {
+        startThreads(options_.threads);
+        web::http::experimental::listener::http_listener_config config;
+        config.set_timeout(std::chrono::duration_cast<utility::seconds>(options_.timeout));
+        try {
+            listener_ = web::http::experimental::listener::http_listener(
+                    "http://" + options_.address + "/", config);
+            listener_.support([this](const http_request &message) { receive(message); });
+            listener_.open().wait();
+        } catch (const std::exception &failure) {
+            return error {result_code::StorageFailed,
+                          "can't listen on " + options_.address + ": " + failure.what(),
+                          {},
+                          {}};
+        }
+        open_ = true;
+        return std::monostate {};
+    }
+
+    void close() override
+    {
+        if (!open_.exchange(false))
+            return;
+        try {
+            listener_.close().wait();
+        } catch (const std::exception &failure) {
+            logFor("http")->warn("listener did not close: {}", failure.what());
+        }
+    }
+
+private:
+    void receive(const http_request &message)
+    {
+        if (const auto refused = checkHeaders(message.headers(), options_)) {
+            send(message, refusal(*refused));
+            return;
+        }
+        auto reader = std::make_shared<body_reader>();
+        reader->stream = message.body();
+        reader->limit = options_.maxBodyBytes;
+        readBody(reader).then([this, message, reader](const pplx::task<bool> &done) {
+            finish(message, *reader, done);
+        });
+    }
+
+    void finish(const http_request &message, body_reader &reader, const pplx::task<bool> &done)
+    {
+        try {
+            if (!done.get()) {
+                // Closing the stream keeps the library from buffering the rest of the body.
+                reader.stream.close();
+                send(message,
+                     refusal({result_code::BodyTooLarge,
+                              "at most " + std::to_string(reader.limit) + " bytes",
+                              {},
+                              {}}));
+                return;
+            }
+        } catch (const std::exception &failure) {
+            logFor("http")->debug("request body was cut: {}", failure.what());
+            return;
+        }
+        auto converted = std::make_shared<request>(
+                toRequest(message, std::move(reader.buffer.collection())));
+        loop_.post([this, message, converted] {
+            onRequest_(std::move(*converted),
+                       [message](response answer) { send(message, std::move(answer)); });
+        });
+    }
+
+    wire::event_loop &loop_;
+    server_options options_;
+    handler onRequest_;
+    web::http::experimental::listener::http_listener listener_;
+    std::atomic<bool> open_ = false;
+};
+
+} // namespace
+
+std::string_view request::find(std::string_view name) const
+{
+    const auto matches
+            = [name](const header &field) { return equalsIgnoringCase(field.name, name); };
+    const auto found = std::ranges::find_if(headers, matches);
+    return found == headers.end() ? std::string_view {} : std::string_view(found->value);
+}
+
+response refusal(const error &reason)
+{
+    const auto &info = describe(reason.code);
+    auto body = web::json::value::object();
+    body["code"] = web::json::value::number(static_cast<std::uint32_t>(reason.code));
+    body["name"] = web::json::value::string(std::string(info.name));
+    body["detail"] = web::json::value::string(reason.detail);
+    body["field"] = web::json::value::string(reason.field);
+    response answer;
+    answer.status = info.httpStatus;
+    if (info.retryable) {
+        const auto wait = std::max(reason.retryAfter, milliseconds {100});
+        body["retry_after_ms"] = web::json::value::number(wait.count());
+        answer.headers.push_back({"Retry-After", std::to_string((wait.count() + 999) / 1000)});
+    }
+    answer.body = body.serialize();
+    return answer;
+}
+
+std::string queryValue(std::string_view query, std::string_view name)
+{
+    const auto values = web::uri::split_query(std::string(query));
+    const auto found = values.find(std::string(name));
+    return found == values.end() ? std::string {} : web::uri::decode(found->second);
+}
+
+result<std::unique_ptr<server>> server::listen(wire::event_loop &loop,
+                                               const server_options &options, handler onRequest)
+{
+    auto opened = std::make_unique<rest_server>(loop, options, std::move(onRequest));
+    if (auto outcome = opened->open(); failed(outcome))
+        return errorOf(outcome);
+    return std::unique_ptr<server>(std::move(opened));
+}
+
+} // namespace persimmon::http
--- /dev/null
+++ b/packages/placement/src/placeholder.cc
@@ -0,0 +1,1 @@
+#include "placement/scheduler.h"
--- /dev/null
+++ b/support/package.cmake
@@ -0,0 +1,21 @@
+# persimmon_package(NAME DEPS...): static library of packages/NAME/src/*.cc with include/ as public folder.
+function(persimmon_package name)
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cc)
+  add_library(${name} STATIC ${sources})
+  target_include_directories(${name} PUBLIC include PRIVATE src)
+  target_compile_options(${name} PRIVATE -Wall -Wextra -Wpedantic -Werror)
+  target_link_libraries(${name} PUBLIC ${ARGN})
+endfunction()
+
+# persimmon_tests(NAME DEPS...): one test program NAME-test of packages/NAME/test/*-test.cc.
+function(persimmon_tests name)
+  file(GLOB sources CONFIGURE_DEPENDS test/*-test.cc)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(${name}-test ${sources} ${PROJECT_SOURCE_DIR}/support/test-main.cc)
+  target_include_directories(${name}-test PRIVATE src test)
+  target_compile_options(${name}-test PRIVATE -Wall -Wextra -Werror)
+  target_link_libraries(${name}-test PRIVATE ${name} PkgConfig::cpputest rapidcheck ${ARGN})
+  add_test(NAME ${name} COMMAND ${name}-test WORKING_DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR})
+endfunction()
