--- a/packages/base/src/ini.cc
+++ b/packages/base/src/ini.cc
@@ -1,5 +1,7 @@
 #include "base/ini.h"
 
+#include "base/text.h"
+
 #include <ini.h>
 
 #include <algorithm>
@@ -45,21 +47,13 @@
     return 1;
 }
 
-std::string_view trim(std::string_view line)
-{
-    const auto begin = line.find_first_not_of(" \t\r");
-    if (begin == std::string_view::npos)
-        return {};
-    return line.substr(begin, line.find_last_not_of(" \t\r") - begin + 1);
-}
-
 // Finds what inih does not report: over-long lines, sections that are opened twice and sections
 // without entries, which must exist in the document all the same.
 void scanLines(parse_state &state, std::string_view text)
 {
     while (!text.empty()) {
         const auto end = std::min(text.find('\n'), text.size());
-        const auto line = trim(text.substr(0, end));
+        const auto line = trimSpaces(text.substr(0, end));
         text.remove_prefix(std::min(end + 1, text.size()));
         if (line.size() > maxLineBytes) {
             state.document.mistakes.push_back({"", std::string(line.substr(0, 40)), "",
--- a/packages/base/src/settings.cc
+++ b/packages/base/src/settings.cc
@@ -1,5 +1,7 @@
 #include "base/settings.h"
 
+#include "base/text.h"
+
 #include <algorithm>
 #include <array>
 #include <functional>
@@ -114,17 +116,9 @@
     };
 }
 
+constexpr std::size_t maxVoters = 7;
 constexpr std::string_view votersAllowed = "1 to 7 of ID@RPC_IP:port/HTTP_IP:port, comma separated";
 
-std::string_view trimSpaces(std::string_view value)
-{
-    while (value.starts_with(' '))
-        value.remove_prefix(1);
-    while (value.ends_with(' '))
-        value.remove_suffix(1);
-    return value;
-}
-
 std::optional<voter_address> parseVoter(std::string_view item)
 {
     const auto at = item.find('@');
@@ -143,18 +137,13 @@
 std::optional<std::string> setVoters(settings &target, const std::string &value)
 {
     std::vector<voter_address> voters;
-    std::string_view rest = value;
-    while (true) {
-        const auto comma = std::min(rest.find(','), rest.size());
-        const auto voter = parseVoter(trimSpaces(rest.substr(0, comma)));
+    for (const auto item : splitList(value)) {
+        const auto voter = parseVoter(item);
         if (!voter || std::ranges::find(voters, voter->id, &voter_address::id) != voters.end())
             return std::string(votersAllowed);
         voters.push_back(*voter);
-        if (comma == rest.size())
-            break;
-        rest.remove_prefix(comma + 1);
     }
-    if (voters.size() > 7)
+    if (voters.size() > maxVoters)
         return std::string(votersAllowed);
     target.voters = std::move(voters);
     return std::nullopt;
--- a/packages/base/src/tables.cc
+++ b/packages/base/src/tables.cc
@@ -1,5 +1,7 @@
 #include "base/tables.h"
 
+#include "base/text.h"
+
 #include <algorithm>
 #include <functional>
 #include <optional>
@@ -101,26 +103,14 @@
                       static_cast<std::uint32_t>(valueOf(count))};
 }
 
-std::string_view trimSpaces(std::string_view value)
-{
-    while (value.starts_with(' '))
-        value.remove_prefix(1);
-    while (value.ends_with(' '))
-        value.remove_suffix(1);
-    return value;
-}
-
 std::optional<std::string> setGuarantees(workspace &row, const std::string &value)
 {
     row.guarantees.clear();
-    std::string_view rest = value;
-    while (!rest.empty()) {
-        const auto comma = std::min(rest.find(','), rest.size());
-        const auto parsed = parseGuarantee(trimSpaces(rest.substr(0, comma)));
+    for (const auto item : splitList(value)) {
+        const auto parsed = parseGuarantee(item);
         if (!parsed)
             return std::string(guaranteeAllowed);
         row.guarantees.push_back(*parsed);
-        rest.remove_prefix(std::min(comma + 1, rest.size()));
     }
     return std::nullopt;
 }
--- /dev/null
+++ b/packages/tools/src/load.cc
@@ -0,0 +1,183 @@
+#include "tools/load.h"
+
+#include <cpprest/http_client.h>
+#include <cpprest/json.h>
+#include <pplx/threadpool.h>
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <mutex>
+#include <thread>
+
+namespace persimmon::tools {
+
+namespace {
+
+using std::chrono::steady_clock;
+
+constexpr std::size_t poolThreads = 4;
+constexpr milliseconds requestTimeout {30000};
+constexpr milliseconds resendPause {50};
+constexpr int maxResends = 100;
+
+struct shared_report
+{
+    std::mutex mutex;
+    load_report report;
+    std::vector<double> latencies;
+};
+
+// One closed-loop caller on a thread of its own, so that blocking waits never hold a pool thread.
+class caller
+{
+public:
+    caller(const load_options &options, std::uint32_t number, shared_report &shared)
+        : options_(options)
+        , number_(number)
+        , shared_(shared)
+    {
+        web::http::client::http_client_config config;
+        config.set_timeout(requestTimeout);
+        for (std::size_t i = 0; i < options.targets.size(); ++i) {
+            const auto &target = options.targets[(i + number) % options.targets.size()];
+            clients_.emplace_back("http://" + target, config);
+        }
+    }
+
+    void run(steady_clock::time_point end)
+    {
+        for (std::uint64_t i = 0; steady_clock::now() < end; ++i) {
+            const auto key
+                    = options_.keyPrefix + "-" + std::to_string(number_) + "-" + std::to_string(i);
+            const auto begin = steady_clock::now();
+            sendUntilAnswered(key);
+            addLatency(steady_clock::now() - begin);
+            if (options_.pause.count() > 0)
+                std::this_thread::sleep_for(options_.pause);
+        }
+    }
+
+private:
+    void sendUntilAnswered(const std::string &key)
+    {
+        for (int i = 0; i <= (options_.resend ? maxResends : 0); ++i) {
+            if (i > 0)
+                std::this_thread::sleep_for(resendPause);
+            if (sendOnce(key))
+                return;
+        }
+    }
+
+    // Returns false when the request should be sent again.
+    bool sendOnce(const std::string &key)
+    {
+        web::http::http_request message(options_.method);
+        message.set_request_uri(options_.path);
+        message.headers().add("Idempotency-Key", key);
+        if (options_.method != "GET")
+            message.set_body(std::string(options_.bodyBytes, 'b'), "text/plain");
+        try {
+            const auto answer = clients_[next_ % clients_.size()].request(message).get();
+            const auto body = answer.extract_string(true).get();
+            return record(key, answer, body);
+        } catch (const std::exception &) {
+            ++next_;
+            const std::scoped_lock lock(shared_.mutex);
+            ++shared_.report.transportErrors;
+            return false;
+        }
+    }
+
+    bool record(const std::string &key, const web::http::http_response &answer,
+                const std::string &body)
+    {
+        const auto &headers = answer.headers();
+        const auto found = headers.find("Persimmon-Outcome");
+        const std::string outcome = found != headers.end() ? found->second
+                : answer.status_code() == 200              ? "ran"
+                                                           : "not_run";
+        const std::scoped_lock lock(shared_.mutex);
+        auto &report = shared_.report;
+        ++report.requests;
+        ++report.statuses[answer.status_code()];
+        if (outcome == "ran") {
+            ++report.ran;
+            report.ranKeys.push_back(key);
+            if (body.find("\"key\":\"" + key + "\"") == std::string::npos)
+                ++report.foreignAnswers;
+            return true;
+        }
+        ++(outcome == "not_run" ? report.notRun : report.unknown);
+        ++next_;
+        return !(outcome == "not_run" && headers.has("Retry-After"));
+    }
+
+    void addLatency(steady_clock::duration latency)
+    {
+        const std::scoped_lock lock(shared_.mutex);
+        shared_.latencies.push_back(std::chrono::duration<double, std::milli>(latency).count());
+    }
+
+    const load_options &options_;
+    std::uint32_t number_;
+    shared_report &shared_;
+    std::vector<web::http::client::http_client> clients_;
+    std::size_t next_ = 0;
+};
+
+double percentile(std::vector<double> &sorted, double share)
+{
+    if (sorted.empty())
+        return 0;
+    const auto position = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
+    return sorted[position];
+}
+
+} // namespace
+
+load_report runLoad(const load_options &options)
+{
+    crossplat::threadpool::initialize_with_threads(poolThreads);
+    shared_report shared;
+    const auto begin = steady_clock::now();
+    std::vector<std::thread> threads;
+    for (std::uint32_t i = 0; i < options.clients; ++i) {
+        threads.emplace_back([&, i] {
+            caller client(options, i, shared);
+            client.run(begin + options.duration);
+        });
+    }
+    for (auto &thread : threads)
+        thread.join();
+    auto &report = shared.report;
+    report.seconds = std::chrono::duration<double>(steady_clock::now() - begin).count();
+    std::ranges::sort(shared.latencies);
+    report.p50Ms = percentile(shared.latencies, 0.5);
+    report.p99Ms = percentile(shared.latencies, 0.99);
+    report.maxMs = shared.latencies.empty() ? 0 : shared.latencies.back();
+    return report;
+}
+
+std::string toJson(const load_report &report)
+{
+    using web::json::value;
+    auto object = value::object();
+    object["requests"] = value::number(report.requests);
+    object["per_second"] = value::number(static_cast<double>(report.requests) / report.seconds);
+    object["ran"] = value::number(report.ran);
+    object["not_run"] = value::number(report.notRun);
+    object["unknown"] = value::number(report.unknown);
+    object["transport_errors"] = value::number(report.transportErrors);
+    object["foreign_answers"] = value::number(report.foreignAnswers);
+    object["p50_ms"] = value::number(report.p50Ms);
+    object["p99_ms"] = value::number(report.p99Ms);
+    object["max_ms"] = value::number(report.maxMs);
+    auto statuses = value::object();
+    for (const auto &[status, count] : report.statuses)
+        statuses[std::to_string(status)] = value::number(count);
+    object["statuses"] = statuses;
+    return object.serialize();
+}
+
+} // namespace persimmon::tools
