--- a/packages/system/test/local_system.cc
+++ b/packages/system/test/local_system.cc
@@ -154,7 +154,7 @@
 
 std::string local_system::writeFile(const std::string &name, const std::string &text) const
 {
-    const auto path = folder_ + "/" + name;
+    auto path = folder_ + "/" + name;
     std::ofstream(path) << text;
     return path;
 }
--- a/packages/system/test/process.cc
+++ b/packages/system/test/process.cc
@@ -16,6 +16,7 @@
 process::process(const std::vector<std::string> &arguments, const std::string &logFile)
 {
     std::vector<char *> argv;
+    argv.reserve(arguments.size() + 1);
     for (const auto &argument : arguments)
         argv.push_back(const_cast<char *>(argument.c_str()));
     argv.push_back(nullptr);
