--- /dev/null
+++ b/support/bench.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Measurements: support/bench.sh path|log|placement|slots|capacity|rollout
+# Each prints a table; nothing is left running.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash support/build.sh build
+case "${1:-}" in
+log) exec build/packages/consensus/log-bench ;;
+placement) exec build/packages/placement/placement-bench ;;
+slots) exec build/packages/entry/slots-bench ;;
+path | capacity | rollout) exec bash "support/bench-$1.sh" ;;
+*)
+  echo "usage: support/bench.sh path|log|placement|slots|capacity|rollout" >&2
+  exit 24
+  ;;
+esac
--- a/support/install.sh
+++ b/support/install.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the libraries and tools of the build from Debian's packages, if any is missing.
 set -euo pipefail
-packages=(g++ cmake curl ninja-build ccache pkg-config clang-format clang-tidy
+packages=(g++ cmake curl jq ninja-build ccache pkg-config clang-format clang-tidy
   libcpprest-dev capnproto libcapnp-dev prometheus-cpp-dev libtclap-dev libspdlog-dev
   cpputest libcpputest-dev libinih-dev librapidcheck-dev libxxhash-dev libssl-dev)
 if ! dpkg-query -W -f='${db:Status-Status}\n' "${packages[@]}" 2>/dev/null \
