Add the placement core with three strategies

Other parts link against scheduler::create, which had no definition.

The core keeps a capacity index for each kind of use of a pool: free lists of workers by accelerators, cores and memory, free lists of racks by the number of tasks they hold, and counts for each zone. first_fit, best_fit and buddy are rows of a table of member pointers into that index. A gang is placed in one worker, rack, zone or region, in that order, and never across regions.

scheduler.h gains attempt_ended::mayHaveRun (default true) and stateBytes().

--- a/packages/placement/include/placement/scheduler.h
+++ b/packages/placement/include/placement/scheduler.h
@@ -15,7 +15,9 @@
 
 struct scheduler_options
 {
-    std::string strategy = "buddy"; // first_fit, best_fit or buddy
+    // Of pools that the tables don't name: first_fit, best_fit, buddy, or fifo_first_fit (baseline
+    // of the bench: strict order of arrival, no guarantees). Unknown names mean buddy.
+    std::string strategy = "buddy";
     double completionWeight = 0.5;
     double fragmentationWeight = 0.5;
     milliseconds checkpointDeadline {2000};
@@ -88,6 +90,7 @@
     std::uint32_t attempt = 0;
     attempt_end how = attempt_end::Completed;
     std::string worker; // of the failed task or the lost worker
+    bool mayHaveRun = true; // false: stopped before its release; any job may start again
 };
 
 struct clock_ticked
@@ -123,7 +126,8 @@
     std::uint32_t attempt = 0;
 };
 
-// The job is over without a result: ShapeImpossible, CannotRun or Cancelled.
+// The job is over without a result: ShapeImpossible, QuotaExceeded, CannotRun, Cancelled, or
+// OutcomeUnknown for a job that is not repeatable and was lost after it may have run.
 struct end_job
 {
     job_id job {};
@@ -193,6 +197,9 @@
 
     virtual std::vector<pool_usage> poolUsage() const = 0;
     virtual std::vector<workspace_usage> workspaceUsage() const = 0;
+
+    // Estimated memory of the whole state in bytes.
+    virtual std::size_t stateBytes() const = 0;
 };
 
 } // namespace persimmon::placement
--- /dev/null
+++ b/packages/placement/src/estimator.cc
@@ -0,0 +1,78 @@
+#include "estimator.h"
+
+#include <bit>
+
+namespace persimmon::placement::detail {
+
+void run_time_estimator::observe(index_t workspace, priority_class priority,
+                                 std::int32_t accelerators, milliseconds runTime)
+{
+    const auto key = keyOf(workspace, priority, accelerators);
+    if (histograms_.size() >= maxHistograms && !histograms_.contains(key)) {
+        return;
+    }
+    auto &samples = histograms_[key];
+    const auto seconds
+            = static_cast<std::uint64_t>(std::max<std::int64_t>(runTime.count(), 0)) / 1000;
+    ++samples.counts[std::min<std::uint32_t>(std::bit_width(seconds), bins - 1)];
+    if (++samples.total >= maxSamples) {
+        samples.total = 0;
+        for (auto &count : samples.counts) {
+            count /= 2;
+            samples.total += count;
+        }
+    }
+}
+
+std::uint32_t run_time_estimator::keyOf(index_t workspace, priority_class priority,
+                                        std::int32_t accelerators)
+{
+    const auto size = static_cast<std::uint32_t>(std::bit_width(std::uint32_t(accelerators)));
+    return (workspace << 6) | (static_cast<std::uint32_t>(priority) << 4) | std::min(size, 15U);
+}
+
+milliseconds run_time_estimator::quantile(const histogram &samples, std::uint32_t percent)
+{
+    std::uint32_t seen = 0;
+    for (std::uint32_t bin = 0; bin < bins; ++bin) {
+        seen += samples.counts[bin];
+        if (seen * 100 >= samples.total * percent) {
+            return milliseconds(1000LL << bin); // upper edge of the bin
+        }
+    }
+    return milliseconds(1000LL << bins);
+}
+
+const run_time_estimator::histogram *run_time_estimator::find(index_t workspace,
+                                                              priority_class priority,
+                                                              std::int32_t accelerators) const
+{
+    const auto place = histograms_.find(keyOf(workspace, priority, accelerators));
+    return place == histograms_.end() || place->second.total < minSamples ? nullptr
+                                                                          : &place->second;
+}
+
+milliseconds run_time_estimator::expected(index_t workspace, priority_class priority,
+                                          std::int32_t accelerators,
+                                          std::uint32_t declaredSeconds) const
+{
+    if (const auto *samples = find(workspace, priority, accelerators)) {
+        return quantile(*samples, 50);
+    }
+    return std::chrono::seconds(declaredSeconds > 0 ? declaredSeconds : 600);
+}
+
+milliseconds run_time_estimator::upperBound(index_t workspace, priority_class priority,
+                                            std::int32_t accelerators) const
+{
+    const auto *samples = find(workspace, priority, accelerators);
+    return samples == nullptr ? milliseconds(0) : quantile(*samples, 90);
+}
+
+std::size_t run_time_estimator::bytes() const
+{
+    return histograms_.size() * (sizeof(histogram) + 3 * sizeof(void *))
+            + histograms_.bucket_count() * sizeof(void *);
+}
+
+} // namespace persimmon::placement::detail
--- /dev/null
+++ b/packages/placement/src/estimator.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "amount.h"
+
+#include "base/clock.h"
+
+#include <array>
+#include <unordered_map>
+
+namespace persimmon::placement::detail {
+
+// Observed run times per workspace, class and size bucket, as histograms over powers of two.
+// Declared run times are up to 10 times off and serve only until something has been observed.
+class run_time_estimator
+{
+public:
+    void observe(index_t workspace, priority_class priority, std::int32_t accelerators,
+                 milliseconds runTime);
+
+    // Median run time; the declared one (or 10 minutes) when nothing similar was observed.
+    milliseconds expected(index_t workspace, priority_class priority, std::int32_t accelerators,
+                          std::uint32_t declaredSeconds) const;
+
+    // Run time that 9 of 10 jobs did not exceed; zero with fewer than minSamples observations.
+    milliseconds upperBound(index_t workspace, priority_class priority,
+                            std::int32_t accelerators) const;
+
+    std::size_t bytes() const;
+
+private:
+    static constexpr std::uint32_t bins = 20; // up to 2^19 s, about 6 days
+    static constexpr std::uint32_t minSamples = 8;
+    static constexpr std::uint32_t maxSamples = 256; // halved beyond, so that old runs fade
+    static constexpr std::size_t maxHistograms = 16384;
+
+    struct histogram
+    {
+        std::array<std::uint16_t, bins> counts {};
+        std::uint32_t total = 0;
+    };
+
+    static std::uint32_t keyOf(index_t workspace, priority_class priority,
+                               std::int32_t accelerators);
+    static milliseconds quantile(const histogram &samples, std::uint32_t percent);
+    const histogram *find(index_t workspace, priority_class priority,
+                          std::int32_t accelerators) const;
+
+    std::unordered_map<std::uint32_t, histogram> histograms_;
+};
+
+} // namespace persimmon::placement::detail
--- a/packages/placement/src/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "placement/scheduler.h"
--- /dev/null
+++ b/packages/placement/src/reservations.cc
@@ -0,0 +1,260 @@
+#include "core.h"
+
+namespace persimmon::placement::detail {
+
+// More weight on fragmentation reserves earlier: from 0 to 2 times the set delay.
+std::int64_t core::reservationDelay() const
+{
+    const auto total = options_.completionWeight + options_.fragmentationWeight;
+    const auto completion = total > 0 ? options_.completionWeight / total : 0.5;
+    return static_cast<std::int64_t>(2 * completion * double(options_.reservationDelay.count()));
+}
+
+void core::dropReservation(index_t pool, std::size_t position)
+{
+    auto &held = state_.pools[pool].reservations;
+    const auto workers = std::move(held[position].workers);
+    held.erase(held.begin() + std::ptrdiff_t(position));
+    for (const auto worker : workers) {
+        state_.workers[worker].reservedFor = noIndex;
+        state_.refresh(worker);
+    }
+    state_.pools[pool].dispatchNeeded = true;
+}
+
+void core::dropReservationsOf(index_t job)
+{
+    const auto pool = state_.jobs[job].pool;
+    auto &held = state_.pools[pool].reservations;
+    for (auto position = held.size(); position-- > 0;) {
+        if (held[position].job == job) {
+            dropReservation(pool, position);
+        }
+    }
+}
+
+// Whether the gang can still start on the reserved workers once other jobs have ended.
+bool core::reservationHolds(const reservation &held) const
+{
+    const auto &job = state_.jobs[held.job];
+    for (const auto worker : held.workers) {
+        const auto &entry = state_.workers[worker];
+        const auto count = std::int32_t(std::ranges::count(held.workers, worker));
+        const auto bindable = entry.capacity - entry.bound;
+        const auto room = job.repeatable ? entry.capacity : bindable;
+        if (!entry.healthy() || !fits(job.task * count, room)) {
+            return false;
+        }
+    }
+    return !overQuota(held.job);
+}
+
+// The oldest large gang that has waited longer than the delay, else the oldest job that has waited
+// several delays. Jobs over their quota are passed over.
+index_t core::nextForReservation(index_t pool) const
+{
+    constexpr int maxLooked = 8;
+    const auto &entry = state_.pools[pool];
+    const auto delay = reservationDelay();
+    const auto search = [&](const std::set<std::pair<job_id, index_t>> &waiting,
+                            std::int64_t least) {
+        int looked = 0;
+        for (const auto &[id, job] : waiting) {
+            const auto waited = now_ - state_.jobs[job].queued;
+            const auto reserved = std::ranges::find(entry.reservations, job, &reservation::job)
+                    != entry.reservations.end();
+            if (!reserved && waited > milliseconds(least) && !overQuota(job)) {
+                return job;
+            }
+            if (++looked >= maxLooked) {
+                break;
+            }
+        }
+        return noIndex;
+    };
+    const auto large = search(entry.large, delay);
+    return large != noIndex
+            ? large
+            : search(entry.arrivals, smallJobDelays * std::max<std::int64_t>(delay, 1));
+}
+
+// Sets workers aside, where possible those that only preemptible jobs use.
+bool core::reserve(index_t pool, index_t job)
+{
+    auto &entry = state_.pools[pool];
+    const auto &gang = state_.jobs[job];
+    const request need {gang.task, gang.tasks};
+    std::vector<view> order {view::Reclaim, view::Healthy};
+    if (!gang.repeatable) {
+        order = {view::Bindable};
+    }
+    for (const auto kind : order) {
+        if (!entry.at(kind).find(*entry.order, need, found_)) {
+            continue;
+        }
+        reservation held {job, {}, {}};
+        for (const auto local : found_) {
+            held.workers.push_back(entry.workers[local]);
+        }
+        const auto isTaken
+                = [&](index_t worker) { return state_.workers[worker].reservedFor != noIndex; };
+        if (std::ranges::any_of(held.workers, isTaken)) {
+            continue;
+        }
+        for (const auto worker : held.workers) {
+            state_.workers[worker].reservedFor = job;
+            state_.refresh(worker);
+        }
+        held.ready = expectedReady(held);
+        entry.reservations.push_back(std::move(held));
+        entry.dispatchNeeded = true;
+        return true;
+    }
+    return false;
+}
+
+void core::updateReservations(index_t pool)
+{
+    auto &entry = state_.pools[pool];
+    if (entry.order->strictOrder || entry.arrivals.empty()) {
+        return;
+    }
+    for (auto position = entry.reservations.size(); position-- > 0;) {
+        if (!reservationHolds(entry.reservations[position])) {
+            dropReservation(pool, position);
+        }
+    }
+    while (entry.reservations.size() < maxReservations) {
+        const auto job = nextForReservation(pool);
+        if (job == noIndex || !reserve(pool, job)) {
+            break;
+        }
+    }
+    for (auto &held : entry.reservations) {
+        held.ready = expectedReady(held);
+        stopBackfill(held);
+    }
+    entry.dispatchNeeded = entry.dispatchNeeded || !entry.reservations.empty();
+}
+
+// Expected end of the last job on the reserved workers, backfill excluded.
+time_point core::expectedReady(const reservation &held) const
+{
+    auto ready = now_;
+    for (const auto worker : held.workers) {
+        for (const auto number : state_.workers[worker].jobs) {
+            const auto &job = state_.jobs[number];
+            if (job.backfill) {
+                continue;
+            }
+            const milliseconds expected = estimator_.expected(
+                    job.workspace, job.priority, job.accelerators(), job.declaredSeconds);
+            const auto end = job.started + expected;
+            // A job past its expected end is taken to run for another quarter of that time.
+            ready = std::max<time_point>(ready, end > now_ ? end : now_ + expected / 4);
+        }
+    }
+    return ready;
+}
+
+bool core::reservedFree(const reservation &held) const
+{
+    const auto &job = state_.jobs[held.job];
+    for (const auto worker : held.workers) {
+        const auto &entry = state_.workers[worker];
+        const auto count = std::int32_t(std::ranges::count(held.workers, worker));
+        const auto bindable = entry.capacity - entry.bound - entry.pinned;
+        const auto room = job.repeatable ? entry.free() : smaller(entry.free(), bindable);
+        if (!fits(job.task * count, room)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void core::startReserved(index_t pool)
+{
+    for (std::size_t position = 0; position < state_.pools[pool].reservations.size(); ++position) {
+        const auto &held = state_.pools[pool].reservations[position];
+        const auto job = held.job;
+        const auto barred = !state_.jobs[job].repeatable && state_.pools[pool].unboundCells > 0;
+        if (barred || overQuota(job) || !reservedFree(held)) {
+            continue;
+        }
+        std::vector<task_place> places;
+        for (const auto worker : held.workers) {
+            places.push_back({worker, noIndex});
+        }
+        const auto lent = [&](const task_place &task) {
+            const auto &worker = state_.workers[task.worker];
+            return worker.free().accelerators - state_.jobs[job].task.accelerators
+                    < (worker.bound - worker.owned).accelerators;
+        };
+        state_.jobs[job].borrowed = std::ranges::any_of(places, lent);
+        place(job, state_.jobs[job].repeatable ? hold::Soft : hold::Pinned, std::move(places),
+              "reserved workers");
+        --position; // the reservation has been dropped
+    }
+}
+
+// Once only backfill keeps a reserved gang from starting, the backfill is preempted: an estimate
+// that was too low must not delay the gang.
+void core::stopBackfill(const reservation &held)
+{
+    const auto &gang = state_.jobs[held.job];
+    std::vector<index_t> victims;
+    for (const auto worker : held.workers) {
+        const auto &entry = state_.workers[worker];
+        auto room = entry.free();
+        for (const auto number : entry.jobs) {
+            const auto &job = state_.jobs[number];
+            const auto count = std::ranges::count(job.places, worker, &task_place::worker);
+            if (job.backfill) {
+                room += job.task * std::int32_t(count);
+                victims.push_back(number);
+            }
+        }
+        if (!fits(gang.task * std::int32_t(std::ranges::count(held.workers, worker)), room)) {
+            return;
+        }
+    }
+    for (const auto job : victims) {
+        if (state_.jobs[job].state == phase::Running) {
+            preempt(job, held.job);
+        }
+    }
+}
+
+// Starts a preemptible job on reserved workers if 9 of 10 similar jobs ended before the gang is
+// expected to start.
+bool core::backfill(index_t number)
+{
+    const auto &job = state_.jobs[number];
+    const auto &pool = state_.pools[job.pool];
+    if (!job.repeatable || !job.failedOn.empty() || pool.reservations.empty()) {
+        return false;
+    }
+    const auto bound = estimator_.upperBound(job.workspace, job.priority, job.accelerators());
+    for (const auto &held : pool.reservations) {
+        if (held.job == number || bound.count() == 0 || now_ + bound > held.ready) {
+            continue;
+        }
+        std::vector<task_place> places;
+        auto last = noIndex;
+        for (const auto worker : held.workers) {
+            const auto slots
+                    = worker == last ? 0 : slotsOf(job.task, state_.workers[worker].free());
+            const auto left = std::uint32_t(job.tasks - places.size());
+            places.insert(places.end(), std::min(left, slots), {worker, noIndex});
+            last = worker;
+        }
+        if (places.size() == job.tasks) {
+            state_.jobs[number].backfill = true;
+            place(number, hold::Soft, std::move(places), "backfill before a reservation");
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace persimmon::placement::detail
--- /dev/null
+++ b/packages/placement/src/usage.cc
@@ -0,0 +1,64 @@
+#include "core.h"
+
+namespace persimmon::placement::detail {
+
+namespace {
+
+// Accelerators of bound cells that jobs other than their owners use.
+std::int32_t lentOn(const worker_entry &worker)
+{
+    const auto used = worker.soft.accelerators + worker.pinned.accelerators;
+    const auto idle = worker.bound.accelerators - worker.owned.accelerators;
+    const auto open = worker.capacity.accelerators - worker.bound.accelerators;
+    return std::clamp(used - open, 0, std::max(idle, 0));
+}
+
+} // namespace
+
+std::vector<pool_usage> core::poolUsage() const
+{
+    std::vector<pool_usage> usage;
+    for (index_t id = 0; id < state_.pools.size(); ++id) {
+        pool_usage row {state_.poolName(id)};
+        for (const auto worker : state_.pools[id].workers) {
+            const auto &entry = state_.workers[worker];
+            if (entry.present) {
+                const auto used = entry.capacity.accelerators - entry.free().accelerators;
+                ++row.workers;
+                row.accelerators += std::uint32_t(entry.capacity.accelerators);
+                row.used += std::uint32_t(std::clamp(used, 0, entry.capacity.accelerators));
+                row.borrowed += std::uint32_t(lentOn(entry));
+            }
+        }
+        usage.push_back(std::move(row));
+    }
+    return usage;
+}
+
+std::vector<workspace_usage> core::workspaceUsage() const
+{
+    std::vector<workspace_usage> usage;
+    for (index_t id = 0; id < state_.workspaces.size(); ++id) {
+        const auto &entry = state_.workspaces[id];
+        usage.push_back({state_.workspaceName(id), std::uint32_t(entry.guaranteed),
+                         std::uint32_t(entry.used), std::uint32_t(entry.borrowed), 0,
+                         entry.waiting});
+    }
+    for (const auto &worker : state_.workers) {
+        auto lent = lentOn(worker);
+        for (const auto number : worker.slices) {
+            const auto &part = state_.slices[number];
+            const auto mine = std::min(lent, (part.size - part.used).accelerators);
+            usage[state_.cells[part.cell].workspace].lent += std::uint32_t(mine);
+            lent -= mine;
+        }
+    }
+    return usage;
+}
+
+std::size_t core::stateBytes() const
+{
+    return sizeof(*this) + state_.bytes() + queue_.bytes() + estimator_.bytes();
+}
+
+} // namespace persimmon::placement::detail
--- /dev/null
+++ b/packages/placement/src/wait_queue.cc
@@ -0,0 +1,118 @@
+#include "wait_queue.h"
+
+namespace persimmon::placement::detail {
+
+namespace {
+
+template <typename Record>
+index_t takeRecord(std::deque<Record> &records, std::vector<index_t> &unused)
+{
+    if (unused.empty()) {
+        records.emplace_back();
+        return static_cast<index_t>(records.size() - 1);
+    }
+    const auto id = unused.back();
+    unused.pop_back();
+    records[id] = {};
+    return id;
+}
+
+} // namespace
+
+wait_queue::kind_key wait_queue::keyOf(const job_entry &job)
+{
+    return {job.pool,  job.task.accelerators, job.task.cores, job.task.memoryMb,
+            job.tasks, job.repeatable};
+}
+
+wait_queue::group_key wait_queue::keyOf(const job_entry &job, index_t kind)
+{
+    return {job.workspace, job.priority, kind, job.failedOn.empty() ? job_id {} : job.id};
+}
+
+index_t wait_queue::kindFor(const job_entry &job)
+{
+    const auto [place, added] = kindByKey_.emplace(keyOf(job), noIndex);
+    if (added) {
+        place->second = takeRecord(kinds_, freeKinds_);
+        auto &kind = kinds_[place->second];
+        kind.task = job.task;
+        kind.tasks = job.tasks;
+        kind.repeatable = job.repeatable;
+    }
+    return place->second;
+}
+
+void wait_queue::push(std::vector<job_entry> &jobs, std::deque<pool_entry> &pools, index_t number)
+{
+    auto &job = jobs[number];
+    const auto kind = kindFor(job);
+    const auto [place, added] = groupByKey_.emplace(keyOf(job, kind), noIndex);
+    if (added) {
+        place->second = takeRecord(groups_, freeGroups_);
+        auto &fresh = groups_[place->second];
+        fresh.pool = job.pool;
+        fresh.workspace = job.workspace;
+        fresh.priority = job.priority;
+        fresh.kind = kind;
+        ++kinds_[kind].groups;
+        byPool_.resize(std::max<std::size_t>(byPool_.size(), job.pool + 1));
+        byPool_[job.pool][job.workspace].push_back(place->second);
+    }
+    job.group = place->second;
+    job.state = phase::Waiting;
+    groups_[job.group].jobs.emplace(job.id, number);
+    pools[job.pool].arrivals.emplace(job.id, number);
+    if (isLarge(job)) {
+        pools[job.pool].large.emplace(job.id, number);
+    }
+    ++size_;
+}
+
+void wait_queue::erase(std::vector<job_entry> &jobs, std::deque<pool_entry> &pools, index_t number)
+{
+    auto &job = jobs[number];
+    const std::pair entry {job.id, number};
+    pools[job.pool].arrivals.erase(entry);
+    pools[job.pool].large.erase(entry);
+    groups_[job.group].jobs.erase(entry);
+    if (groups_[job.group].jobs.empty()) {
+        dropGroup(job.group, job);
+    }
+    job.group = noIndex;
+    job.reason = wait_reason::None;
+    --size_;
+}
+
+void wait_queue::dropGroup(index_t id, const job_entry &job)
+{
+    const auto kind = groups_[id].kind;
+    groupByKey_.erase(keyOf(job, kind));
+    auto &byWorkspace = byPool_[job.pool];
+    const auto place = byWorkspace.find(job.workspace);
+    std::erase(place->second, id);
+    if (place->second.empty()) {
+        byWorkspace.erase(place);
+    }
+    freeGroups_.push_back(id);
+    if (--kinds_[kind].groups == 0) {
+        kindByKey_.erase(keyOf(job));
+        freeKinds_.push_back(kind);
+    }
+}
+
+const std::map<index_t, std::vector<index_t>> &wait_queue::groupsOf(index_t pool) const
+{
+    static const std::map<index_t, std::vector<index_t>> none;
+    return pool < byPool_.size() ? byPool_[pool] : none;
+}
+
+std::size_t wait_queue::bytes() const
+{
+    constexpr std::size_t node = 4 * sizeof(void *);
+    return groups_.size() * sizeof(job_group) + kinds_.size() * sizeof(job_kind)
+            + size_ * (node + 2 * sizeof(job_id)) + groupByKey_.size() * (node + sizeof(group_key))
+            + kindByKey_.size() * (node + sizeof(kind_key));
+}
+
+} // namespace persimmon::placement::detail
--- a/support/lint.sh
+++ b/support/lint.sh
@@ -1,23 +1,31 @@
 #!/usr/bin/env bash
 # Checks formatting (clang-format) and runs clang-tidy: support/lint.sh [BUILD_FOLDER]
-# A file whose text, headers and configuration are unchanged since its last clean run is skipped.
+# A source is skipped when it, the project headers it includes and the configuration are unchanged
+# since its last clean run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folder="${1:-build}"
 mapfile -t sources < <(git ls-files -co --exclude-standard 'packages/*.cc' 'packages/*.h' 'support/*.cc' \
-  | grep -v /generated/)
+  | grep -v /generated/ | while read -r file; do [ -e "$file" ] && echo "$file"; done)
 clang-format --dry-run --Werror "${sources[@]}"
 cache="${XDG_CACHE_HOME:-$HOME/.cache}/persimmonproxy-tidy"
 mkdir -p "$cache"
-headers=$(cat .clang-tidy $(printf '%s\n' "${sources[@]}" | grep '\.h$' | sort) | sha256sum | cut -c1-16)
+includes=()
+for dir in packages/*/include packages/*/src packages/*/test; do includes+=("-I$dir"); done
+for dir in packages/*/generated; do includes+=("-isystem" "$dir"); done
 check() {
-  local key
-  key="$cache/$(cat "$1" | sha256sum | cut -c1-32)-$headers"
+  local key log
+  key="$cache/$(g++ -std=c++20 -D_TURN_OFF_PLATFORM_STRING -MM -MG ${includes_text} "$1" 2>/dev/null \
+    | tr -d '\\' | tr ' ' '\n' | grep -E '\.(cc|h)$' | sort -u \
+    | while read -r file; do [ -e "$file" ] && cat "$file"; done | cat - .clang-tidy | sha256sum | cut -c1-32)"
   [ -e "$key" ] && return 0
-  clang-tidy --quiet -p "$folder" "$1" 2>/dev/null >"/tmp/tidy-$$-${1//\//_}" \
-    && touch "$key" || { cat "/tmp/tidy-$$-${1//\//_}"; return 1; }
-  rm -f "/tmp/tidy-$$-${1//\//_}"
+  log=$(mktemp)
+  if clang-tidy --quiet -p "$folder" "$1" 2>/dev/null >"$log"; then touch "$key"; rm "$log"; return 0; fi
+  cat "$log"; rm "$log"; return 1
 }
 export -f check
-export folder cache headers
-printf '%s\n' "${sources[@]}" | grep '\.cc$' | xargs -P "$(nproc)" -I{} bash -c 'check {}'
+export folder cache includes_text="${includes[*]}"
+# Only what the build compiles can be checked.
+printf '%s\n' "${sources[@]}" | grep '\.cc$' | while read -r file; do
+  if grep -q "/$file\"" "$folder/compile_commands.json"; then echo "$file"; fi
+done | xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'check {}'
