Add the ledger and the leader's controllers

Cause: control had interfaces only; entries, programs and consensus need a ledger and a coordinator to link against.

The coordinator answers entries (view, tables, orders, shares), drives jobs from submission to results, and records intents. ledger gets data() for the coordinator; coordinator::create() gets an overload with a scheduler factory, because each term needs a fresh scheduler.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -79,8 +79,15 @@
     template <typename Value>
     using completion = std::function<void(result<Value>)>;
 
+    // Makes the scheduler of a term. Each term needs a fresh one.
+    using scheduler_factory = std::function<std::unique_ptr<placement::scheduler>(
+            const placement::scheduler_options &)>;
+
+    // Uses placement::scheduler::create(). The ledger and the log must outlive the coordinator.
     static std::unique_ptr<coordinator> create(const coordinator_options &options, ledger &state,
                                                proposer &log);
+    static std::unique_ptr<coordinator> create(const coordinator_options &options, ledger &state,
+                                               proposer &log, scheduler_factory schedulers);
 
     virtual ~coordinator() = default;
 
--- a/packages/control/include/control/ledger.h
+++ b/packages/control/include/control/ledger.h
@@ -20,6 +20,9 @@
     std::string summary; // changed rows, such as "+route boards ~pool gpu"
 };
 
+// Whole content of the ledger, known to the controllers of this package only.
+struct ledger_data;
+
 // Replicated state: tables, job ledger, intents and marks of leaving upstreams. Commands and their
 // encoding are internal to this package (control/commands.h). Reads are valid on every voter; only
 // the leader's are current.
@@ -31,6 +34,9 @@
     virtual const tables &currentTables() const = 0;
     virtual std::vector<history_item> history() const = 0; // newest last, bounded
     virtual std::optional<job_view> findJob(job_id id) const = 0;
+
+    // Content for the coordinator.
+    virtual const ledger_data &data() const = 0;
 };
 
 } // namespace persimmon::control
--- /dev/null
+++ b/packages/control/src/codec.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "command.capnp.h"
+#include "wire/convert.h"
+
+#include "ledger_data.h"
+
+#include <capnp/message.h>
+
+// Helpers shared by the encodings of commands and snapshots.
+namespace persimmon::control::detail {
+
+namespace schema = wire::schema;
+
+void write(schema::WorkerGrant::Builder target, const worker_grant &source);
+void write(schema::TableChange::Builder target, const table_change &source);
+void write(schema::IntentReply::Builder target, const intent_reply &source);
+void write(schema::Reply::Builder target, const reply &source);
+
+worker_grant read(schema::WorkerGrant::Reader source);
+table_change read(schema::TableChange::Reader source);
+intent_reply read(schema::IntentReply::Reader source);
+reply read(schema::Reply::Reader source);
+
+using wire::read;
+using wire::write;
+
+template <typename ListBuilder, typename Items>
+void writeList(ListBuilder list, const Items &items)
+{
+    unsigned position = 0;
+    for (const auto &item : items)
+        write(list[position++], item);
+}
+
+template <typename ListReader>
+auto readList(ListReader list)
+{
+    std::vector<decltype(read(list[0]))> items;
+    items.reserve(list.size());
+    for (const auto &item : list)
+        items.push_back(read(item));
+    return items;
+}
+
+inline void writeTexts(capnp::List<capnp::Text>::Builder list,
+                       const std::vector<std::string> &texts)
+{
+    for (unsigned i = 0; i < list.size(); ++i)
+        list.set(i, wire::toText(texts[i]));
+}
+
+inline std::vector<std::string> readTexts(capnp::List<capnp::Text>::Reader list)
+{
+    std::vector<std::string> texts;
+    texts.reserve(list.size());
+    for (const auto &text : list)
+        texts.push_back(wire::toString(text));
+    return texts;
+}
+
+inline job_id toJob(std::uint64_t number)
+{
+    return static_cast<job_id>(number);
+}
+
+} // namespace persimmon::control::detail
--- /dev/null
+++ b/packages/control/src/create.cc
@@ -0,0 +1,12 @@
+#include "control/coordinator.h"
+
+namespace persimmon::control {
+
+// In a file of its own, so that programs which bring their own scheduler need not link placement's.
+std::unique_ptr<coordinator> coordinator::create(const coordinator_options &options, ledger &state,
+                                                 proposer &log)
+{
+    return create(options, state, log, &placement::scheduler::create);
+}
+
+} // namespace persimmon::control
--- /dev/null
+++ b/packages/control/src/jobs.cc
@@ -0,0 +1,382 @@
+#include "jobs.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace persimmon::control {
+
+namespace {
+
+using placement::attempt_end;
+
+// Finds ledger changes whose reply was lost; those with a reply are handled at once.
+constexpr milliseconds reconcilePeriod {500};
+
+std::uint32_t attemptOf(const job_entry &entry)
+{
+    return entry.workers.empty() ? 0 : entry.attempt;
+}
+
+} // namespace
+
+jobs::jobs(context &shared, membership &members, view &shown)
+    : shared_(shared)
+    , members_(members)
+    , orders_(shown)
+{
+}
+
+void jobs::reset()
+{
+    started_ = false;
+    orders_.reset();
+    events_.clear();
+    tracked_.clear();
+    byWorker_.clear();
+    quarantined_.clear();
+    waits_.clear();
+    recordsProposed_ = false;
+    trimProposed_ = false;
+    nextReconcile_ = nextRecords_ = nextTrim_ = time_point {};
+}
+
+void jobs::adopt()
+{
+    const auto open = shared_.data().openJobs;
+    for (const auto id : open)
+        track(id);
+    orders_.flush();
+}
+
+void jobs::start()
+{
+    started_ = true;
+    tablesChanged();
+    for (const auto &value : members_.upstreams())
+        upstreamJoined(value);
+    const auto open = shared_.data().openJobs;
+    for (const auto id : open) {
+        const auto &entry = *shared_.data().find(id);
+        auto &job = tracked_[id];
+        if (entry.workers.empty())
+            continue;
+        job.known = job.placed = true;
+        job.placementAttempt = entry.attempt;
+        std::vector<std::string> workers;
+        for (const auto &grant : entry.workers)
+            workers.push_back(grant.worker);
+        step(placement::job_restored {id, entry.spec, entry.attempt, workers, entry.released});
+    }
+    for (const auto id : open)
+        advance(id);
+    orders_.flush();
+}
+
+void jobs::submit(const std::string &key, const job_spec &spec,
+                  coordinator::completion<job_id> done)
+{
+    const auto toId = [](const reply &answer) { return static_cast<job_id>(answer.value); };
+    shared_.commitFor<job_id>(submit_job {key, spec}, std::move(done), toId,
+                              [this, toId](const reply &answer) { track(toId(answer)); });
+}
+
+void jobs::cancel(job_id id, coordinator::completion<std::monostate> done)
+{
+    shared_.commitFor<std::monostate>(
+            cancel_job {id}, std::move(done), [](const reply &) { return std::monostate {}; },
+            [this, id](const reply &) { advance(id); });
+}
+
+void jobs::report(const std::vector<task_report> &reports)
+{
+    for (const auto &item : reports) {
+        const auto *entry = shared_.data().find(item.task.job);
+        const auto found = tracked_.find(item.task.job);
+        if (!entry || found == tracked_.end() || !found->second.progress)
+            continue;
+        if (takeReport(*entry, *found->second.progress, item))
+            advance(item.task.job);
+    }
+    orders_.flush();
+}
+
+void jobs::tablesChanged()
+{
+    const auto &current = shared_.data().current;
+    step(placement::tables_changed {current.pools, current.workspaces});
+}
+
+void jobs::tick()
+{
+    if (started_)
+        step(placement::clock_ticked {});
+    if (shared_.now() >= nextReconcile_) {
+        nextReconcile_ = shared_.now() + reconcilePeriod;
+        reconcile();
+    }
+    commitRecords();
+    trim();
+    orders_.flush();
+}
+
+void jobs::reconcile()
+{
+    auto open = shared_.data().openJobs;
+    for (const auto &[id, job] : tracked_)
+        open.insert(id);
+    for (const auto id : open)
+        track(id);
+}
+
+void jobs::track(job_id id)
+{
+    const auto *entry = shared_.data().find(id);
+    if (entry && !isTerminal(entry->state))
+        tracked_.try_emplace(id);
+    advance(id);
+}
+
+void jobs::advance(job_id id)
+{
+    // Each round handles one change; handling it may run placement and change the job again.
+    while (shared_.leading()) {
+        const auto found = tracked_.find(id);
+        if (found == tracked_.end())
+            return;
+        const auto *entry = shared_.data().find(id);
+        if (!entry) {
+            tracked_.erase(found);
+            return;
+        }
+        if (!advanceOnce(*entry, found->second))
+            return;
+    }
+}
+
+bool jobs::advanceOnce(const job_entry &entry, tracked &job)
+{
+    if (job.progress && job.progress->attempt != attemptOf(entry))
+        return closeAttempt(entry, job);
+    if (!job.progress && !entry.workers.empty())
+        return openAttempt(entry, job);
+    if (entry.cancelRequested && job.known && !job.cancelTold) {
+        job.cancelTold = true;
+        step(placement::job_cancelled {entry.id});
+        return true;
+    }
+    if (isTerminal(entry.state)) {
+        endTerminal(entry, job);
+        return false;
+    }
+    if (job.progress) {
+        advanceOpen(entry, job);
+        return false;
+    }
+    return advanceWaiting(entry, job);
+}
+
+bool jobs::openAttempt(const job_entry &entry, tracked &job)
+{
+    job.grant.reset();
+    job.progress.emplace();
+    job.progress->attempt = entry.attempt;
+    job.progress->tasks.resize(entry.workers.size());
+    for (const auto &grant : entry.workers) {
+        job.workers.push_back(grant.worker);
+        byWorker_[grant.worker].insert(entry.id);
+    }
+    return true;
+}
+
+bool jobs::closeAttempt(const job_entry &entry, tracked &job)
+{
+    const bool done = entry.state == job_state::Done;
+    const auto how = done ? attempt_end::Completed : entry.stopReason;
+    for (const auto &worker : job.workers)
+        byWorker_[worker].erase(entry.id);
+    job.workers.clear();
+    job.progress.reset();
+    job.wish.reset();
+    orders_.set(entry.id, {});
+    if (!job.placed)
+        return true;
+    job.placed = false;
+    const placement::attempt_ended ended {entry.id, job.placementAttempt, how, entry.stopWorker};
+    // Placement must not place a job again that the ledger has ended.
+    if (isTerminal(entry.state) && !done && !job.cancelTold) {
+        job.cancelTold = true;
+        step(placement::job_cancelled {entry.id});
+    }
+    step(ended);
+    return true;
+}
+
+void jobs::endTerminal(const job_entry &entry, tracked &job)
+{
+    const auto id = entry.id;
+    const bool refused = job.placed; // the grant came after the end
+    const auto attempt = job.placementAttempt;
+    waits_.erase(id);
+    tracked_.erase(id);
+    if (refused)
+        step(placement::attempt_ended {id, attempt, attempt_end::Cancelled, {}});
+}
+
+void jobs::showOrders(const job_entry &entry, tracked &job)
+{
+    auto &progress = *job.progress;
+    if (entry.state == job_state::Stopping && !progress.stopSeen) {
+        progress.stopSeen = true;
+        progress.stoppedAt = shared_.now();
+    }
+    orders_.set(entry.id, desiredOrders(entry, progress, members_, shared_.now()));
+}
+
+void jobs::advanceOpen(const job_entry &entry, tracked &job)
+{
+    showOrders(entry, job);
+    if (job.proposed)
+        return;
+    if (auto body = nextCommand(entry, job))
+        propose(entry.id, job, *body);
+}
+
+std::optional<command_body> jobs::nextCommand(const job_entry &entry, const tracked &job) const
+{
+    const auto &progress = *job.progress;
+    const bool allDone
+            = entry.released && !entry.cancelRequested && allInState(progress, task_state::Done);
+    if (allDone) {
+        finish_job body {entry.id, entry.attempt, entry.token, {}};
+        for (const auto &task : progress.tasks)
+            body.results.push_back(task.result);
+        return body;
+    }
+    if (entry.state == job_state::Stopping) {
+        if (hasStopped(entry, progress, members_, shared_))
+            return end_attempt {entry.id, entry.attempt};
+        return std::nullopt;
+    }
+    if (const auto fault = findFault(entry, progress, members_))
+        return stop_attempt {entry.id, entry.attempt, fault->reason, fault->worker, {}, {}};
+    if (job.wish)
+        return stop_attempt {entry.id, entry.attempt,   job.wish->reason,
+                             {},       job.wish->other, job.wish->deadline};
+    if (entry.state == job_state::Preparing && allInState(progress, task_state::Prepared))
+        return release_attempt {entry.id, entry.attempt, entry.token};
+    return std::nullopt;
+}
+
+bool jobs::advanceWaiting(const job_entry &entry, tracked &job)
+{
+    if (job.proposed || !started_)
+        return false;
+    if (!job.known) {
+        job.known = true;
+        step(placement::job_submitted {entry.id, entry.spec});
+        return true;
+    }
+    if (job.grant && !checkGrant(job, entry.id))
+        return true;
+    if (job.grant) {
+        auto body = *job.grant;
+        body.attempt = entry.attempt + 1;
+        propose(entry.id, job, body);
+    } else if (job.end) {
+        propose(entry.id, job, *job.end);
+    }
+    return false;
+}
+
+bool jobs::checkGrant(tracked &job, job_id id)
+{
+    for (auto &member : job.grant->workers) {
+        const auto *worker = members_.find(member.worker);
+        const bool serving = worker && worker->state == upstream_state::Serving;
+        if (serving && (member.incarnation == 0 || member.incarnation == worker->incarnation)) {
+            member.incarnation = worker->incarnation;
+            continue;
+        }
+        const placement::attempt_ended ended {id, job.placementAttempt, attempt_end::WorkerLost,
+                                              member.worker};
+        job.grant.reset();
+        job.wish.reset();
+        job.placed = false;
+        step(ended);
+        return false;
+    }
+    return true;
+}
+
+void jobs::propose(job_id id, tracked &job, const command_body &body)
+{
+    job.proposed = true;
+    shared_.commit(body, [this, id](const auto &outcome) {
+        const auto found = tracked_.find(id);
+        if (found == tracked_.end())
+            return;
+        found->second.proposed = false;
+        // After a failure the next reconciliation proposes what is still needed.
+        if (!failed(outcome))
+            advance(id);
+        orders_.flush();
+    });
+}
+
+void jobs::concern(const std::string &worker)
+{
+    const auto found = byWorker_.find(worker);
+    if (found == byWorker_.end())
+        return;
+    const auto concerned = found->second;
+    for (const auto id : concerned)
+        advance(id);
+    orders_.flush();
+}
+
+void jobs::upstreamJoined(const announcement &value)
+{
+    if (started_) {
+        step(placement::worker_joined {value.id, value.pool, value.place, value.capacity});
+        if (value.state == upstream_state::Leaving)
+            step(placement::worker_leaving {value.id});
+    }
+    concern(value.id);
+}
+
+void jobs::upstreamLeaving(const std::string &id)
+{
+    if (started_)
+        step(placement::worker_leaving {id});
+    concern(id);
+}
+
+void jobs::upstreamGone(const std::string &id)
+{
+    quarantined_.erase(id);
+    // Stops are proposed before placement hears of the loss, so that it finds the attempts
+    // stopping.
+    concern(id);
+    if (started_)
+        step(placement::worker_left {id});
+}
+
+std::vector<std::string> jobs::quarantined() const
+{
+    return {quarantined_.begin(), quarantined_.end()};
+}
+
+std::size_t jobs::waitingJobs() const
+{
+    const auto &data = shared_.data();
+    return std::ranges::count_if(
+            data.openJobs, [&](job_id id) { return data.find(id)->state == job_state::Waiting; });
+}
+
+std::size_t jobs::runningJobs() const
+{
+    return shared_.data().openJobs.size() - waitingJobs();
+}
+
+} // namespace persimmon::control
--- a/packages/control/src/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "control/coordinator.h"
