Add the entry role: request core, sync state, HTTP adapters

Cause: entries had no code. Callers need routing, fair queues, limits, retries and truthful outcomes; upstreams need announcements and orders; both follow the control leader.

Change: - request_core: filter chain identify, route, admit, record, queue, select, dispatch, retry, answer; pure, time comes in as an argument. - sync_state: content of calls to the leader, view, leases, acknowledgements. - proxy_service, api_service, upstream_client, metrics: adapters. - http: request::rawPath; an empty content type sends no Content-Type field.

Fix in http: request bodies were followed by up to 16 KiB of zero bytes. The library's container_buffer grows ahead of what was read, so the collection's size is not the size of the body. Seen in upstream_client, which read answers the same way: an answer of 4 bytes had 16388.

--- a/packages/entry/include/entry/entry.h
+++ b/packages/entry/include/entry/entry.h
@@ -23,6 +23,10 @@
     // Shuts down gracefully: readiness off, wait of drainDelay for the balancer, then all queued
     // and running requests are finished. Calls the callback when nothing is left.
     virtual void beginShutdown(std::function<void()> done) = 0;
+
+    // Sets what happens when an operator drains this entry. Without it, the entry refuses new
+    // requests and finishes the others, but the process keeps running.
+    virtual void onDrain(std::function<void()> drain) = 0;
 };
 
 } // namespace persimmon::entry
--- /dev/null
+++ b/packages/entry/src/entry_program.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "control_link.h"
+#include "entry/entry.h"
+
+namespace persimmon::entry {
+
+// Starts an entry over any link to the control leader.
+result<std::unique_ptr<entry_server>> startEntry(wire::event_loop &loop, const settings &values,
+                                                 std::unique_ptr<control_link> link);
+
+} // namespace persimmon::entry
--- /dev/null
+++ b/packages/entry/src/fair_queue.cc
@@ -0,0 +1,88 @@
+#include "fair_queue.h"
+
+#include <algorithm>
+
+namespace persimmon::entry {
+
+std::size_t fair_queue::lane::size() const
+{
+    std::size_t sum = 0;
+    for (const auto &items : byClass)
+        sum += items.size();
+    return sum;
+}
+
+void fair_queue::push(std::string_view workspace, std::uint32_t weight, priority_class priority,
+                      request_id id, position where)
+{
+    auto &target = lanes_.try_emplace(std::string(workspace)).first->second;
+    // A workspace that was idle starts at the current virtual time; it earns nothing while idle.
+    if (target.size() == 0)
+        target.pass = std::max(target.pass, virtualTime_);
+    target.weight = std::max(weight, 1U);
+    auto &items = target.byClass.at(static_cast<std::size_t>(priority));
+    if (where == position::Front)
+        items.push_front(id);
+    else
+        items.push_back(id);
+    ++size_;
+}
+
+std::optional<request_id> fair_queue::pop()
+{
+    auto best = lanes_.end();
+    for (auto item = lanes_.begin(); item != lanes_.end(); ++item) {
+        if (item->second.size() > 0
+            && (best == lanes_.end() || item->second.pass < best->second.pass))
+            best = item;
+    }
+    if (best == lanes_.end())
+        return std::nullopt;
+    auto &chosen = best->second;
+    virtualTime_ = chosen.pass;
+    chosen.pass += 1.0 / chosen.weight;
+    auto items = std::ranges::find_if(chosen.byClass.rbegin(), chosen.byClass.rend(),
+                                      [](const auto &list) { return !list.empty(); });
+    const auto id = items->front();
+    items->pop_front();
+    --size_;
+    return id;
+}
+
+void fair_queue::erase(std::string_view workspace, request_id id)
+{
+    const auto found = lanes_.find(workspace);
+    if (found == lanes_.end())
+        return;
+    for (auto &items : found->second.byClass)
+        size_ -= std::erase(items, id);
+}
+
+std::size_t fair_queue::size(std::string_view workspace) const
+{
+    const auto found = lanes_.find(workspace);
+    return found == lanes_.end() ? 0 : found->second.size();
+}
+
+std::size_t fair_queue::ahead(std::string_view workspace, priority_class priority) const
+{
+    const auto found = lanes_.find(workspace);
+    if (found == lanes_.end())
+        return 0;
+    std::size_t sum = 0;
+    for (auto index = static_cast<std::size_t>(priority); index < classes; ++index)
+        sum += found->second.byClass.at(index).size();
+    return sum;
+}
+
+std::uint64_t fair_queue::otherWeights(std::string_view workspace) const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[name, item] : lanes_) {
+        if (name != workspace && item.size() > 0)
+            sum += item.weight;
+    }
+    return sum;
+}
+
+} // namespace persimmon::entry
--- a/packages/entry/src/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "base/sync.h"
--- a/packages/http/include/http/server.h
+++ b/packages/http/include/http/server.h
@@ -23,6 +23,7 @@
 {
     std::string method;
     std::string path; // decoded, without the query
+    std::string rawPath; // as received, without the query
     std::string query; // as received
     std::vector<header> headers;
     std::string body;
@@ -34,7 +35,7 @@
 struct response
 {
     int status = 200;
-    std::string contentType = "application/json";
+    std::string contentType = "application/json"; // empty: no such field
     std::vector<header> headers;
     std::string body;
 };
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -35,6 +35,8 @@
 {
     http_response reply(static_cast<web::http::status_code>(answer.status));
     reply.set_body(std::move(answer.body), answer.contentType);
+    if (answer.contentType.empty())
+        reply.headers().remove("Content-Type");
     for (const auto &field : answer.headers)
         reply.headers().add(field.name, field.value);
     // The caller may have gone; the library reports that by a failed task that nobody needs.
@@ -84,14 +86,16 @@
 {
     concurrency::streams::istream stream;
     concurrency::streams::container_buffer<std::string> buffer;
-    std::uint64_t limit;
+    std::uint64_t limit = 0;
+    std::size_t received = 0; // bytes of the body; the buffer itself grows ahead of them
 };
 
 // Reads a body up to the limit; the task's value tells whether the body stayed within it.
 pplx::task<bool> readBody(const std::shared_ptr<body_reader> &reader)
 {
     return reader->stream.read(reader->buffer, readChunkBytes).then([reader](std::size_t count) {
-        if (reader->buffer.collection().size() > reader->limit)
+        reader->received += count;
+        if (reader->received > reader->limit)
             return pplx::task_from_result(false);
         if (count == 0)
             return pplx::task_from_result(true);
@@ -105,6 +109,7 @@
     converted.method = message.method();
     const auto uri = message.relative_uri();
     converted.path = web::uri::decode(uri.path());
+    converted.rawPath = uri.path();
     converted.query = uri.query();
     for (const auto &[name, value] : message.headers())
         converted.headers.push_back({name, value});
@@ -187,8 +192,9 @@
             logFor("http")->debug("request body was cut: {}", failure.what());
             return;
         }
-        auto converted = std::make_shared<request>(
-                toRequest(message, std::move(reader.buffer.collection())));
+        auto body = std::move(reader.buffer.collection());
+        body.resize(reader.received);
+        auto converted = std::make_shared<request>(toRequest(message, std::move(body)));
         loop_.post([this, message, converted] {
             onRequest_(std::move(*converted),
                        [message](response answer) { send(message, std::move(answer)); });
