--- /dev/null
+++ b/packages/apps/include/apps/rpc_server.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "apps/voter.h"
+#include "wire/event_loop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace persimmon::apps {
+
+struct rpc_hooks
+{
+    std::function<void()> drain = [] {}; // another voter forwards the operator's drain request
+    std::function<void(std::string_view method, double seconds)> observe
+            = [](std::string_view, double) {};
+};
+
+// Serves entries and other voters over Cap'n Proto RPC on one address.
+class rpc_server
+{
+public:
+    // Starts to listen; call it outside of the loop's callbacks. Fails with StorageFailed when the
+    // address can't be bound.
+    static result<std::unique_ptr<rpc_server>> listen(wire::event_loop &loop,
+                                                      const std::string &address, voter &target,
+                                                      rpc_hooks hooks);
+
+    virtual ~rpc_server() = default;
+};
+
+} // namespace persimmon::apps
--- /dev/null
+++ b/packages/apps/include/apps/watched_storage.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "consensus/storage.h"
+
+#include <functional>
+#include <memory>
+
+namespace persimmon::apps {
+
+// Storage that reports the first failed sync. The replicated log stops taking part after such a
+// failure, and only a restart can bring it back.
+class watched_storage final : public consensus::storage
+{
+public:
+    watched_storage(std::unique_ptr<consensus::storage> files,
+                    std::function<void(const error &)> onFailure);
+
+    result<consensus::stored_state> load() override;
+    void saveVote(const consensus::vote_record &vote) override;
+    void append(std::span<const consensus::log_entry> entries) override;
+    void saveSnapshot(const consensus::snapshot_record &snapshot) override;
+    void sync(std::function<void(status)> done) override;
+
+private:
+    std::unique_ptr<consensus::storage> files_;
+    std::function<void(const error &)> onFailure_;
+};
+
+} // namespace persimmon::apps
--- /dev/null
+++ b/packages/apps/src/daemon_arguments.cc
@@ -0,0 +1,66 @@
+#include "apps/daemon_arguments.h"
+
+#include "apps/version.h"
+
+#include <tclap/CmdLine.h>
+
+namespace persimmon::apps {
+
+namespace {
+
+error usageError(std::string detail, std::string field)
+{
+    return {result_code::UsageError, std::move(detail), std::move(field), {}};
+}
+
+status checkCombination(const daemon_arguments &values, const std::string &role)
+{
+    if (values.printReference || values.printCodes)
+        return std::monostate {};
+    if (role != "control" && role != "entry")
+        return usageError("one of control, entry", "role");
+    if (values.settingsFile.empty())
+        return usageError("a file name", "settings");
+    return std::monostate {};
+}
+
+} // namespace
+
+result<std::optional<daemon_arguments>> readDaemonArguments(std::span<const std::string> arguments)
+{
+    TCLAP::CmdLine line("Scheduler and request proxy, control or entry role", ' ',
+                        std::string(programVersion));
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> role("", "role", "role of this process", false, "",
+                                      "control|entry", line);
+    TCLAP::ValueArg<std::string> file("", "settings", "settings file", false, "", "FILE", line);
+    TCLAP::SwitchArg check("", "check-settings", "list all mistakes of the settings and exit",
+                           line);
+    TCLAP::SwitchArg reference("", "print-settings-reference",
+                               "print the table of all settings and exit", line);
+    TCLAP::SwitchArg codes("", "print-result-codes", "print the table of all result codes and exit",
+                           line);
+    TCLAP::UnlabeledValueArg<std::string> checked("file", "settings file, same as --settings",
+                                                  false, "", "FILE", line);
+    std::vector<std::string> copy(arguments.begin(), arguments.end());
+    try {
+        line.parse(copy);
+    } catch (const TCLAP::ArgException &failure) {
+        return usageError(failure.error(), failure.argId());
+    } catch (const TCLAP::ExitException &) {
+        return std::nullopt;
+    }
+    if (file.isSet() && checked.isSet())
+        return usageError("one settings file", "settings");
+    daemon_arguments values;
+    values.role = role.getValue() == "entry" ? instance_role::Entry : instance_role::Control;
+    values.settingsFile = file.isSet() ? file.getValue() : checked.getValue();
+    values.checkSettings = check.getValue();
+    values.printReference = reference.getValue();
+    values.printCodes = codes.getValue();
+    if (auto combination = checkCombination(values, role.getValue()); failed(combination))
+        return errorOf(combination);
+    return values;
+}
+
+} // namespace persimmon::apps
--- /dev/null
+++ b/packages/apps/src/rpc_server.cc
@@ -0,0 +1,235 @@
+#include "apps/rpc_server.h"
+
+#include "base/log.h"
+#include "wire/convert.h"
+
+#include <capnp/rpc-twoparty.h>
+
+namespace persimmon::apps {
+
+namespace {
+
+using namespace wire;
+
+// Pause after a failed accept, for example without free file descriptors.
+constexpr auto acceptPause = 100 * kj::MILLISECONDS;
+
+// Turns the completion of a controller's call into a promise. The value is held on the heap because
+// g++ 12 takes a variant inside of kj::Maybe for uninitialized.
+template <typename Value, typename Start>
+kj::Promise<kj::Own<Value>> promiseOf(Start start)
+{
+    auto pair = kj::newPromiseAndFulfiller<kj::Own<Value>>();
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<kj::Own<Value>>>>(
+            kj::mv(pair.fulfiller));
+    start([fulfiller](Value value) { (*fulfiller)->fulfill(kj::heap<Value>(std::move(value))); });
+    return kj::mv(pair.promise);
+}
+
+class voter_service final : public schema::Voter::Server
+{
+public:
+    voter_service(voter &target, rpc_hooks hooks)
+        : voter_(target)
+        , hooks_(std::move(hooks))
+    {
+    }
+
+    kj::Promise<void> sync(SyncContext context) override
+    {
+        const auto started = voter_.now();
+        if (const auto ready = voter_.checkReads(); failed(ready)) {
+            fail(context.getResults().initResponse(), errorOf(ready));
+            return kj::READY_NOW;
+        }
+        const auto request = read(context.getParams().getRequest());
+        return promiseOf<sync_response>(
+                       [&](auto done) { voter_.leader().sync(started, request, std::move(done)); })
+                .then([this, context, started](kj::Own<sync_response> answer) mutable {
+                    hooks_.observe("sync", secondsSince(started));
+                    // A held call may end after the leader has lost its lease. Its answer renews
+                    // the entry's lease, so it must not be sent then.
+                    if (const auto ready = voter_.checkReads(); failed(ready))
+                        fail(context.getResults().initResponse(), errorOf(ready));
+                    else
+                        write(context.getResults().initResponse(), *answer);
+                });
+    }
+
+    kj::Promise<void> submitJob(SubmitJobContext context) override
+    {
+        const auto params = context.getParams();
+        const auto key = toString(params.getWorkspaceKey());
+        const auto spec = read(params.getSpec());
+        return call<job_id>(
+                "submitJob", context,
+                [&](auto done) {
+                    voter_.leader().submitJob(voter_.now(), key, spec, std::move(done));
+                },
+                [](auto results, job_id id) { results.setId(toNumber(id)); });
+    }
+
+    kj::Promise<void> getJob(GetJobContext context) override
+    {
+        auto results = context.getResults();
+        if (const auto ready = voter_.checkReads(); failed(ready)) {
+            fail(results, errorOf(ready));
+            return kj::READY_NOW;
+        }
+        const auto found = voter_.state().findJob(static_cast<job_id>(context.getParams().getId()));
+        if (found)
+            write(results.initJob(), *found);
+        else
+            write(results.initError(), error {result_code::NotFound, "no such job", "id", {}});
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> cancelJob(CancelJobContext context) override
+    {
+        const auto id = static_cast<job_id>(context.getParams().getId());
+        return call<std::monostate>(
+                "cancelJob", context,
+                [&](auto done) { voter_.leader().cancelJob(voter_.now(), id, std::move(done)); },
+                [](auto, std::monostate) {});
+    }
+
+    kj::Promise<void> recordIntent(RecordIntentContext context) override
+    {
+        const auto params = context.getParams();
+        const intent_request request {{toString(params.getWorkspace()), toString(params.getKey())},
+                                      params.getDigest(),
+                                      toString(params.getEntryId()),
+                                      params.getEntryIncarnation()};
+        return call<intent_reply>(
+                "recordIntent", context,
+                [&](auto done) {
+                    voter_.leader().recordIntent(voter_.now(), request, std::move(done));
+                },
+                [](auto results, const intent_reply &reply) {
+                    results.setDecision(static_cast<schema::IntentDecision>(reply.decision));
+                    results.setAttempt(reply.attempt);
+                    results.setOutcome(static_cast<std::uint8_t>(reply.outcome));
+                    write(results.initAnswer(), reply.stored);
+                });
+    }
+
+    kj::Promise<void> recordOutcome(RecordOutcomeContext context) override
+    {
+        const auto params = context.getParams();
+        const outcome_record record {{toString(params.getWorkspace()), toString(params.getKey())},
+                                     params.getAttempt(),
+                                     static_cast<request_outcome>(params.getOutcome()),
+                                     read(params.getAnswer())};
+        return call<std::monostate>(
+                "recordOutcome", context,
+                [&](auto done) {
+                    voter_.leader().recordOutcome(voter_.now(), record, std::move(done));
+                },
+                [](auto, std::monostate) {});
+    }
+
+    kj::Promise<void> deliver(DeliverContext context) override
+    {
+        const auto started = voter_.now();
+        const auto message = context.getParams().getMessage();
+        voter_.receive({reinterpret_cast<const std::byte *>(message.begin()), message.size()});
+        hooks_.observe("deliver", secondsSince(started));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> drain(DrainContext) override
+    {
+        hooks_.drain();
+        return kj::READY_NOW;
+    }
+
+private:
+    double secondsSince(time_point started) const
+    {
+        return std::chrono::duration<double>(voter_.now() - started).count();
+    }
+
+    template <typename Results>
+    void fail(Results results, const error &reason) const
+    {
+        write(results.initError(), reason);
+        results.setLeaderHint(voter_.leaderHint());
+    }
+
+    // Runs a call of the leader's coordinator and writes its value or its error.
+    template <typename Value, typename Context, typename Start, typename Store>
+    kj::Promise<void> call(std::string_view method, Context context, Start start, Store store)
+    {
+        if (const auto ready = voter_.checkLeading(); failed(ready)) {
+            fail(context.getResults(), errorOf(ready));
+            return kj::READY_NOW;
+        }
+        const auto started = voter_.now();
+        return promiseOf<result<Value>>(start).then(
+                [this, method, context, started, store](kj::Own<result<Value>> outcome) mutable {
+                    hooks_.observe(method, secondsSince(started));
+                    if (failed(*outcome))
+                        fail(context.getResults(), errorOf(*outcome));
+                    else
+                        store(context.getResults(), valueOf(*outcome));
+                });
+    }
+
+    voter &voter_;
+    rpc_hooks hooks_;
+};
+
+class twoparty_server final : public rpc_server
+{
+public:
+    twoparty_server(event_loop &loop, kj::Own<kj::ConnectionReceiver> receiver, voter &target,
+                    rpc_hooks hooks)
+        : timer_(loop.io().provider->getTimer())
+        , receiver_(kj::mv(receiver))
+        , server_(kj::heap<voter_service>(target, std::move(hooks)))
+        , accepting_(accept().eagerlyEvaluate(nullptr))
+    {
+    }
+
+    // Declared because the implicit one may throw, unlike that of the base class.
+    ~twoparty_server() noexcept override = default;
+
+private:
+    kj::Promise<void> accept()
+    {
+        return server_.listen(*receiver_).catch_([this](kj::Exception &&failure) {
+            logFor("rpc")->warn("can't accept a connection: {}", failure.getDescription().cStr());
+            return timer_.afterDelay(acceptPause).then([this] { return accept(); });
+        });
+    }
+
+    kj::Timer &timer_;
+    kj::Own<kj::ConnectionReceiver> receiver_;
+    capnp::TwoPartyServer server_;
+    kj::Promise<void> accepting_;
+};
+
+} // namespace
+
+result<std::unique_ptr<rpc_server>> rpc_server::listen(wire::event_loop &loop,
+                                                       const std::string &address, voter &target,
+                                                       rpc_hooks hooks)
+{
+    std::unique_ptr<rpc_server> opened;
+    const auto failure = kj::runCatchingExceptions([&] {
+        auto &io = loop.io();
+        auto parsed = io.provider->getNetwork().parseAddress(address).wait(io.waitScope);
+        opened = std::make_unique<twoparty_server>(loop, parsed->listen(), target,
+                                                   std::move(hooks));
+    });
+    KJ_IF_MAYBE (exception, failure) {
+        return error {result_code::StorageFailed,
+                      "can't listen on " + address + ": " + exception->getDescription().cStr(),
+                      {},
+                      {}};
+    }
+    logFor("rpc")->info("listening on {}", address);
+    return opened;
+}
+
+} // namespace persimmon::apps
--- a/packages/wire/schema/control.capnp
+++ b/packages/wire/schema/control.capnp
@@ -87,3 +87,9 @@
   # Delivers one encoded message of the replicated log. Delivery may fail or repeat silently.
   deliver @0 (message :Data) -> ();
 }
+
+# What a voter serves on its RPC address.
+interface Voter extends(Control, Peer) {
+  # Starts a graceful shutdown of this voter; answers before the shutdown begins.
+  drain @0 () -> ();
+}
