--- a/packages/placement/include/placement/scheduler.h
+++ b/packages/placement/include/placement/scheduler.h
@@ -198,8 +198,8 @@
     virtual std::vector<pool_usage> poolUsage() const = 0;
     virtual std::vector<workspace_usage> workspaceUsage() const = 0;
 
-    // Estimated memory of the whole state in bytes.
-    virtual std::size_t stateBytes() const = 0;
+    // Estimated memory of the whole state in bytes; 0: not known.
+    virtual std::size_t stateBytes() const { return 0; }
 };
 
 } // namespace persimmon::placement
--- a/packages/system/test/promises-test.cc
+++ b/packages/system/test/promises-test.cc
@@ -65,11 +65,6 @@
     return waitUntil(limit, [&] { return jobState(entry, id) == state; });
 }
 
-bool isReady(const std::string &entry)
-{
-    return call(entry, "GET", "/readyz", {}, {}, milliseconds {500}).status == 200;
-}
-
 // Waits until a route is served by an upstream through every entry.
 bool waitForRoute(local_system &system, const std::string &path)
 {
--- a/support/lib.sh
+++ b/support/lib.sh
@@ -77,7 +77,7 @@
 stop_all() {
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
-  rm -rf "$run"
+  [ -n "${PERSIMMON_KEEP:-}" ] && echo "logs: $run" || rm -rf "$run"
 }
 trap stop_all EXIT
 
