--- a/packages/apps/src/ctl_arguments.cc
+++ b/packages/apps/src/ctl_arguments.cc
@@ -1,5 +1,6 @@
 #include "apps/ctl_arguments.h"
 
+#include "apps/option_words.h"
 #include "apps/version.h"
 #include "base/ini.h"
 
@@ -141,7 +142,7 @@
     TCLAP::CmdLine line(std::string(programText), ' ', std::string(programVersion));
     line.setExceptionHandling(false);
     option_set options(line);
-    std::vector<std::string> copy(arguments.begin(), arguments.end());
+    auto copy = splitOptions(arguments);
     try {
         line.parse(copy);
     } catch (const TCLAP::ArgException &failure) {
--- a/packages/apps/src/daemon_arguments.cc
+++ b/packages/apps/src/daemon_arguments.cc
@@ -1,9 +1,12 @@
 #include "apps/daemon_arguments.h"
 
+#include "apps/option_words.h"
 #include "apps/version.h"
 
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
+
 namespace persimmon::apps {
 
 namespace {
@@ -24,6 +27,16 @@
     return std::monostate {};
 }
 
+// Lets "--check-settings FILE" stand for "--settings FILE --check-settings". TCLAP's unlabeled
+// arguments can't do it: an optional one may be made only once in a process.
+std::vector<std::string> nameCheckedFile(std::vector<std::string> words)
+{
+    const auto check = std::ranges::find(words, "--check-settings");
+    if (check != words.end() && check + 1 != words.end() && !(check + 1)->starts_with('-'))
+        words.insert(check + 1, "--settings");
+    return words;
+}
+
 } // namespace
 
 result<std::optional<daemon_arguments>> readDaemonArguments(std::span<const std::string> arguments)
@@ -40,9 +53,7 @@
                                "print the table of all settings and exit", line);
     TCLAP::SwitchArg codes("", "print-result-codes", "print the table of all result codes and exit",
                            line);
-    TCLAP::UnlabeledValueArg<std::string> checked("file", "settings file, same as --settings",
-                                                  false, "", "FILE", line);
-    std::vector<std::string> copy(arguments.begin(), arguments.end());
+    auto copy = nameCheckedFile(splitOptions(arguments));
     try {
         line.parse(copy);
     } catch (const TCLAP::ArgException &failure) {
@@ -50,11 +61,9 @@
     } catch (const TCLAP::ExitException &) {
         return std::nullopt;
     }
-    if (file.isSet() && checked.isSet())
-        return usageError("one settings file", "settings");
     daemon_arguments values;
     values.role = role.getValue() == "entry" ? instance_role::Entry : instance_role::Control;
-    values.settingsFile = file.isSet() ? file.getValue() : checked.getValue();
+    values.settingsFile = file.getValue();
     values.checkSettings = check.getValue();
     values.printReference = reference.getValue();
     values.printCodes = codes.getValue();
--- a/packages/apps/test/arguments-test.cc
+++ b/packages/apps/test/arguments-test.cc
@@ -95,5 +95,8 @@
     CHECK_TRUE(usage == daemonFailure({"--role=proxy", "--settings", "a.ini"}));
     CHECK_TRUE(usage == daemonFailure({"--role=entry"}));
     CHECK_TRUE(usage == daemonFailure({"--role=entry", "--settings", "a.ini", "b.ini"}));
+    CHECK_TRUE(
+            usage
+            == daemonFailure({"--role=entry", "--settings", "a.ini", "--check-settings", "b.ini"}));
     CHECK_TRUE(result_code::Ok == daemonFailure({"--print-settings-reference"}));
 }
