Run the whole path end to end

Cause: the stand-in aborted because its clients started the HTTP library's threads before the listener did.

--- a/packages/http/include/http/server.h
+++ b/packages/http/include/http/server.h
@@ -47,6 +47,10 @@
 // Parses "name=value&..." and returns the decoded value of a name, or an empty text.
 std::string queryValue(std::string_view query, std::string_view name);
 
+// Starts the threads of the HTTP library. Needed before the first client or listener of a process;
+// later calls have no effect.
+void startThreads(std::size_t count);
+
 struct server_options
 {
     std::string address; // IP:port
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -26,13 +26,6 @@
     return std::ranges::equal(left, right, same);
 }
 
-// Initializes the library's thread pool once for the process; later sizes are ignored.
-void startThreads(std::size_t count)
-{
-    static std::once_flag once;
-    std::call_once(once, [count] { crossplat::threadpool::initialize_with_threads(count); });
-}
-
 void send(const http_request &message, response answer)
 {
     http_response reply(static_cast<web::http::status_code>(answer.status));
@@ -215,6 +208,12 @@
 
 } // namespace
 
+void startThreads(std::size_t count)
+{
+    static std::once_flag once;
+    std::call_once(once, [count] { crossplat::threadpool::initialize_with_threads(count); });
+}
+
 std::string_view request::find(std::string_view name) const
 {
     const auto matches
--- a/packages/tools/src/fleet.cc
+++ b/packages/tools/src/fleet.cc
@@ -16,6 +16,7 @@
 
 using web::json::value;
 
+constexpr std::size_t poolThreads = 4;
 constexpr milliseconds tickPeriod {20};
 constexpr milliseconds firstAnnounceWithin {1000};
 constexpr milliseconds announceTimeout {2000};
@@ -109,6 +110,7 @@
         : loop_(loop)
         , options_(std::move(options))
     {
+        http::startThreads(poolThreads);
         web::http::client::http_client_config config;
         config.set_timeout(announceTimeout);
         for (const auto &entry : options_.entries)
