--- a/packages/entry/src/filters.cc
+++ b/packages/entry/src/filters.cc
@@ -133,19 +133,15 @@
         const request_key key {request.target.workspace, request.info.key};
         const auto [holder, added] = core.keys_.emplace(key, request.info.id);
         if (!added && holder->second != request.info.id) {
+            // The outcome is on its way to the ledger, which will answer for it in a moment.
+            if (core.unstored_.contains(holder->second))
+                return hold(core, request, "the outcome of the key is not recorded yet");
             request.refusal = refusalOf(result_code::InProgress, "the same key is in progress");
             request.outcome = request_outcome::Unknown;
             return verdict::Answer;
         }
-        if (!core.leaseHeld(core.now_)) {
-            if (core.held_.size() >= core.options_.queueLength) {
-                core.refuse(request, result_code::NotReady, "the configuration lease has run out");
-                return verdict::Answer;
-            }
-            request.phase = request_phase::AwaitingLease;
-            core.held_.push_back(request.info.id);
-            return verdict::Hold;
-        }
+        if (!core.leaseHeld(core.now_))
+            return hold(core, request, "the configuration lease has run out");
         if (core.askingLedger_ >= maxLedgerQueries) {
             core.refuse(request, result_code::Overloaded, "too many new keys at once");
             return verdict::Answer;
@@ -156,6 +152,18 @@
                 query_ledger {request.info.id, key, request.info.digest, request.deadline});
         return verdict::Hold;
     }
+
+private:
+    static verdict hold(request_core &core, request_state &request, const char *reason)
+    {
+        if (core.held_.size() >= core.options_.queueLength) {
+            core.refuse(request, result_code::NotReady, reason);
+            return verdict::Answer;
+        }
+        request.phase = request_phase::Held;
+        core.held_.push_back(request.info.id);
+        return verdict::Hold;
+    }
 };
 
 // Puts the request into the queue of its workspace; pump() takes it out.
@@ -200,6 +208,8 @@
         if (request.attempts == 1)
             request.queueWait
                     = std::chrono::duration_cast<milliseconds>(core.now_ - request.arrivedAt);
+        else
+            ++core.retryCount_;
         request.phase = request_phase::Sent;
         if (request.ledgerRead)
             core.usedLedgerAttempts_.insert(request.ledgerAttempt);
@@ -234,7 +244,6 @@
         if (!safe || request.attempts >= limit || core.now_ >= request.deadline
             || !core.budget_.tryTake())
             return verdict::Answer;
-        ++core.retryCount_;
         return verdict::Requeue;
     }
 };
--- a/packages/entry/src/request_core.cc
+++ b/packages/entry/src/request_core.cc
@@ -299,7 +299,7 @@
 {
     if (request.phase == request_phase::Queued)
         pools_[request.target.pool].queue.erase(request.target.workspace, request.info.id);
-    if (request.phase == request_phase::AwaitingLease)
+    if (request.phase == request_phase::Held)
         std::erase(held_, request.info.id);
 }
 
--- a/packages/entry/src/request_core.h
+++ b/packages/entry/src/request_core.h
@@ -135,7 +135,7 @@
     std::uint64_t ejections = 0;
 };
 
-enum class request_phase : std::uint8_t { New, AwaitingLease, AwaitingLedger, Queued, Sent };
+enum class request_phase : std::uint8_t { New, Held, AwaitingLedger, Queued, Sent };
 
 // One request between its arrival and its answer.
 struct request_state
@@ -270,7 +270,7 @@
     std::map<request_id, std::pair<request_key, std::uint64_t>> unstored_;
     std::set<std::uint64_t> usedLedgerAttempts_; // dispatched, outcome not yet in the ledger
     std::set<std::pair<time_point, request_id>> deadlines_;
-    std::vector<request_id> held_; // wait for the lease before they ask the ledger
+    std::vector<request_id> held_; // wait for the lease, or for an outcome, to ask the ledger
     std::uint32_t askingLedger_ = 0;
     time_point now_;
     time_point leaseUntil_;
