Test the replicated log against an oracle over simulated faults

A group whose first start was cut off by a crash never elected a leader: a node that had already started to vote did not answer as blank any more, and a folder with a first segment but no vote was not fresh. Both now count as new disks that took part in nothing.

--- a/packages/consensus/src/core-members.cc
+++ b/packages/consensus/src/core-members.cc
@@ -12,9 +12,10 @@
 
 } // namespace
 
+// True if this disk never voted or stored an entry and did not lose any state either.
 bool core::blank() const
 {
-    return fresh_ && term_ == 0 && log_.last() == 0;
+    return (fresh_ || !rejoining_) && term_ == 0 && log_.last() == 0;
 }
 
 void core::sendProbes()
--- a/packages/consensus/src/segments.cc
+++ b/packages/consensus/src/segments.cc
@@ -82,7 +82,9 @@
         return setDamagedAside(valueOf(numbers));
     vote_ = state.vote;
     state.damaged = markedDamaged_;
-    state.fresh = !markedDamaged_ && number_ == 0;
+    // Without a saved vote, the first start ended before the node took part in anything.
+    state.fresh = !markedDamaged_ && vote_.disk == 0 && state.entries.empty()
+            && state.snapshot.index == 0;
     return state;
 }
 
--- a/packages/consensus/test/test-network.h
+++ b/packages/consensus/test/test-network.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -36,6 +37,10 @@
     using std::runtime_error::runtime_error;
 };
 
+// Reports a violation; test groups replace it to fail in their framework's way.
+inline std::function<void(const std::string &)> reportViolation
+        = [](const std::string &text) { throw violation(text); };
+
 // What must hold over all nodes and restarts.
 class oracle
 {
@@ -44,7 +49,7 @@
     {
         const auto [at, first] = applied_.emplace(index, command);
         if (at->second != command)
-            throw violation("two commands were applied at index " + std::to_string(index));
+            reportViolation("two commands were applied at index " + std::to_string(index));
     }
 
     void noteReply(log_index index, std::uint64_t command)
@@ -56,7 +61,7 @@
     void noteLeader(term_number term, voter_id id)
     {
         if (leaders_.emplace(term, id).first->second != id)
-            throw violation("two leaders in term " + std::to_string(term));
+            reportViolation("two leaders in term " + std::to_string(term));
     }
 
     // Checks that a node which has applied everything knows every answered command.
@@ -65,13 +70,21 @@
         for (const auto &[index, command] : answered_) {
             const auto at = state.find(index);
             if (at == state.end() || at->second != command)
-                throw violation("the answered command at index " + std::to_string(index)
+                reportViolation("the answered command at index " + std::to_string(index)
                                 + " is lost");
         }
     }
 
+    // A node that may serve reads must know every answered command.
+    void checkRead(const std::map<log_index, std::uint64_t> &state) const
+    {
+        if (!answered_.empty()
+            && (state.empty() || state.rbegin()->first < answered_.rbegin()->first))
+            reportViolation("a read would miss the answered command at index "
+                            + std::to_string(answered_.rbegin()->first));
+    }
+
     std::size_t answered() const { return answered_.size(); }
-    std::uint64_t commandAt(log_index index) const { return applied_.at(index); }
 
 private:
     std::map<log_index, std::uint64_t> applied_;
@@ -90,7 +103,7 @@
     byte_buffer apply(log_index index, byte_view command) override
     {
         if (!state.empty() && state.rbegin()->first >= index)
-            throw violation("applied out of order");
+            reportViolation("applied out of order");
         state[index] = toNumber(command);
         judge_.noteApplied(index, state[index]);
         return toBuffer(index);
@@ -98,25 +111,27 @@
 
     byte_buffer snapshot() const override
     {
-        byte_buffer bytes;
+        auto bytes = toBuffer(state.size());
         for (const auto &[index, command] : state) {
             const auto first = toBuffer(index);
             const auto second = toBuffer(command);
             bytes.insert(bytes.end(), first.begin(), first.end());
             bytes.insert(bytes.end(), second.begin(), second.end());
         }
+        bytes.resize(bytes.size() + padding);
         return bytes;
     }
 
     status restore(byte_view bytes) override
     {
         state.clear();
-        for (; bytes.size() >= 16; bytes = bytes.subspan(16))
-            state[toNumber(bytes)] = toNumber(bytes.subspan(8));
+        for (auto left = toNumber(bytes); left != 0; --left, bytes = bytes.subspan(16))
+            state[toNumber(bytes.subspan(8))] = toNumber(bytes.subspan(16));
         return {};
     }
 
     std::map<log_index, std::uint64_t> state;
+    std::size_t padding = 0; // bytes added to each snapshot
 
 private:
     oracle &judge_;
@@ -266,6 +281,7 @@
             options_.voters.push_back(id);
         for (voter_id id = 1; id <= voters + spares; ++id) {
             members_[id] = std::make_unique<member>(*this, id);
+            driftPermille[id] = static_cast<int>(world.below(61)) - 30;
             start(id);
         }
     }
@@ -278,7 +294,8 @@
         auto options = options_;
         options.self = id;
         at.machine = std::make_unique<recording_machine>(judge);
-        auto opened = node::open(options, at.disk, at, *at.machine, world.now);
+        at.machine->padding = snapshotPadding;
+        auto opened = node::open(options, at.disk, at, *at.machine, now(id));
         at.self = std::move(valueOf(opened));
         tick(id, ++at.life);
     }
@@ -303,7 +320,7 @@
         if (!running(id))
             return;
         const auto command = ++lastCommand_;
-        at(id).propose(world.now, toBuffer(command), [this, command](auto outcome) {
+        at(id).propose(now(id), toBuffer(command), [this, command](auto outcome) {
             if (failed(outcome))
                 lastFailure = errorOf(outcome).code;
             else
@@ -311,6 +328,13 @@
         });
     }
 
+    // Time of a node's own clock; clocks run up to 3% fast or slow.
+    time_point now(voter_id id) const
+    {
+        const auto start = time_point(std::chrono::hours(1));
+        return world.now + (world.now - start) * driftPermille.at(id) / 1000;
+    }
+
     // Cuts the links between the group and all others, in both directions.
     void isolate(std::set<voter_id> group) { group_ = std::move(group); }
     void heal() { group_.clear(); }
@@ -335,7 +359,7 @@
     voter_id awaitLeader(milliseconds limit = milliseconds(5000))
     {
         const auto ready
-                = [this] { return leader() != 0 && at(leader()).canServeReads(world.now); };
+                = [this] { return leader() != 0 && at(leader()).canServeReads(now(leader())); };
         await(ready, limit, "a leader");
         return leader();
     }
@@ -344,7 +368,7 @@
     {
         for (const auto end = world.now + limit; !condition(); advance(milliseconds(5))) {
             if (world.now >= end)
-                throw violation("waited too long for " + what);
+                reportViolation("waited too long for " + what);
         }
     }
 
@@ -380,6 +404,21 @@
             judge.checkComplete(members_.at(peer.id)->machine->state);
     }
 
+    // Adds or removes a voter through the leader and waits for the outcome.
+    result_code change(voter_id id, bool add)
+    {
+        std::optional<result_code> code;
+        const auto done = [&](auto outcome) {
+            code = failed(outcome) ? errorOf(outcome).code : result_code::Ok;
+        };
+        const auto through = awaitLeader();
+        add ? at(through).addVoter(now(through), id, done)
+            : at(through).removeVoter(now(through), id, done);
+        await([&] { return code.has_value(); }, milliseconds(10000), "a membership change");
+        return *code;
+    }
+
+    node_status state(voter_id id) { return at(id).currentStatus(); }
     bool running(voter_id id) const { return members_.at(id)->self != nullptr; }
     node &at(voter_id id) { return *members_.at(id)->self; }
     memory_disk &disk(voter_id id) { return members_.at(id)->disk; }
@@ -396,6 +435,9 @@
     unsigned duplicatePercent = 0;
     std::chrono::microseconds latency {500};
     result_code lastFailure = result_code::Ok;
+    std::size_t snapshotPadding = 0; // of nodes started from now on
+    std::map<voter_id, int> driftPermille;
+    std::set<voter_id> everVoter; // nodes that were proposed as voters
 
 private:
     struct member : transport
@@ -422,16 +464,18 @@
         auto &at = *members_.at(id);
         if (at.life != life || !at.self)
             return;
-        at.self->tick(world.now);
-        noteLeader(id);
+        at.self->tick(now(id));
+        noteState(id);
         world.after(milliseconds(10), [this, id, life] { tick(id, life); });
     }
 
-    void noteLeader(voter_id id)
+    void noteState(voter_id id)
     {
         const auto state = at(id).currentStatus();
         if (state.role == node_role::Leader)
             judge.noteLeader(state.term, id);
+        if (at(id).canServeReads(now(id)))
+            judge.checkRead(machine(id).state);
     }
 
     void send(voter_id from, voter_id to, byte_view message)
@@ -446,8 +490,8 @@
                         [this, from, to, bytes = byte_buffer(message.begin(), message.end())] {
                             if (!running(to) || group_.contains(from) != group_.contains(to))
                                 return;
-                            at(to).receive(world.now, bytes);
-                            noteLeader(to);
+                            at(to).receive(now(to), bytes);
+                            noteState(to);
                         });
         }
     }
