Route waiting requests again when the tables change

Cause: a request that arrived while the configuration lease had run out kept the route it was given under the old tables, and was sent by it as soon as the lease was renewed, although the new tables had no such route. Ruled out: the lease itself (it counts from the send time and had expired) and the order of tables and lease in one sync answer (tables come first). Change: new tables route held and queued requests again; a request whose workspace or repeatability would change is refused as not run.

--- a/packages/entry/src/request_core.cc
+++ b/packages/entry/src/request_core.cc
@@ -177,6 +177,7 @@
     tables_ = values;
     routes_ = route_table(values);
     upstreams_.setPools(values.pools);
+    rerouteWaiting();
     pump(now);
     return take();
 }
@@ -303,6 +304,42 @@
         std::erase(held_, request.info.id);
 }
 
+// Routes again what has not been sent. Without this, a request that was held while the lease had
+// run out was sent by a route that the new tables no longer have.
+void request_core::rerouteWaiting()
+{
+    std::vector<request_id> waiting;
+    for (const auto &[id, request] : requests_) {
+        if (request.phase == request_phase::Queued || request.phase == request_phase::Held)
+            waiting.push_back(id);
+    }
+    for (const auto id : waiting)
+        reroute(requests_.at(id));
+}
+
+void request_core::reroute(request_state &request)
+{
+    const auto position
+            = request.phase == request_phase::Held ? chain_position::Record : chain_position::Queue;
+    leaveQueue(request);
+    const auto found = routes_.find(request.info.host, request.info.path);
+    if (failed(found)) {
+        refuse(request, errorOf(found).code, errorOf(found).detail);
+        run(at(chain_position::Answer), request);
+        return;
+    }
+    const auto &next = *valueOf(found);
+    // The ledger knows the key under the workspace; the promise of one run is the old route's.
+    if (next.workspace != request.target.workspace
+        || next.repeatable != request.target.repeatable) {
+        refuse(request, result_code::NotReady, "the route changed while the request waited");
+        run(at(chain_position::Answer), request);
+        return;
+    }
+    request.target = next;
+    run(at(position), request);
+}
+
 void request_core::resumeHeld()
 {
     if (held_.empty() || !leaseHeld(now_))
--- a/packages/entry/src/request_core.h
+++ b/packages/entry/src/request_core.h
@@ -248,6 +248,8 @@
     void pumpPool(const std::string &pool, pool_load &load);
     void expire(request_id id);
     void finish(request_id id);
+    void rerouteWaiting();
+    void reroute(request_state &request);
     void resumeHeld();
     void leaveQueue(request_state &request);
     std::uint32_t weightOf(std::string_view workspace) const;
--- a/packages/entry/test/request_core-test.cc
+++ b/packages/entry/test/request_core-test.cc
@@ -157,6 +157,25 @@
     LONGS_EQUAL(3, core.version());
 }
 
+// Guards against a request that was held or queued under old tables and is sent by a route that the
+// tables in force don't have any more (seen at an entry that was frozen during a change).
+TEST(request_core, routesWaitingRequestsAgain)
+{
+    prepare(0);
+    CHECK_TRUE(arrive("/light").empty());
+    CHECK_TRUE(arrive("/heavy").empty());
+    auto newer = sampleTables();
+    newer.version = 2;
+    std::erase_if(newer.routes, [](const route &row) { return row.name == "light"; });
+    const auto list = core.applyTables(at(2), newer);
+    LONGS_EQUAL(1, list.size());
+    CHECK(first<answer_caller>(list)->refusal->code == result_code::NoRoute);
+    CHECK(first<answer_caller>(list)->outcome == request_outcome::NotRun);
+    const auto sent = core.applyView(at(3), upstreamsOf(1), true);
+    LONGS_EQUAL(1, sent.size());
+    LONGS_EQUAL(2, static_cast<int>(first<send_attempt>(sent)->which.id));
+}
+
 // Guards against a key that stays in progress for good after the ledger's first reply was lost, and
 // against a second dispatch of an attempt whose outcome could not be recorded.
 TEST(request_core, takesUpItsOwnIntentOnlyOnce)
