--- a/packages/tools/include/tools/load.h
+++ b/packages/tools/include/tools/load.h
@@ -15,8 +15,10 @@
     std::string path = "/";
     std::string method = "POST";
     std::uint32_t clients = 1;
+    std::uint64_t requestsPerClient = 0; // 0: until the duration ends
     milliseconds duration {5000};
     std::size_t bodyBytes = 64;
+    std::string body; // sent instead of bodyBytes of padding when not empty
     std::string keyPrefix = "load"; // each request has the key PREFIX-CLIENT-NUMBER
     milliseconds pause {0};
     bool followReadiness = false; // send only to targets whose /readyz answers 200, like a balancer
--- a/packages/tools/main/load-tool.cc
+++ b/packages/tools/main/load-tool.cc
@@ -28,7 +28,13 @@
             "", "resend", "resend with the same key after transport errors and retryable refusals",
             line);
     TCLAP::SwitchArg balance("", "follow-readiness", "send only to targets that are ready", line);
+    TCLAP::ValueArg<std::string> body("", "body", "body instead of padding", false, "", "text",
+                                      line);
+    TCLAP::ValueArg<unsigned> limit("", "requests", "requests of each caller, 0: no limit", false,
+                                    0, "n", line);
     line.parse(argc, argv);
+    options.body = body.getValue();
+    options.requestsPerClient = limit.getValue();
     options.targets = splitTexts(targets.getValue());
     options.path = path.getValue();
     options.method = method.getValue();
--- a/packages/tools/src/load.cc
+++ b/packages/tools/src/load.cc
@@ -101,7 +101,8 @@
 
     void run(steady_clock::time_point end)
     {
-        for (std::uint64_t i = 0; steady_clock::now() < end; ++i) {
+        const auto limit = options_.requestsPerClient;
+        for (std::uint64_t i = 0; steady_clock::now() < end && (limit == 0 || i < limit); ++i) {
             const auto key
                     = options_.keyPrefix + "-" + std::to_string(number_) + "-" + std::to_string(i);
             const auto begin = steady_clock::now();
@@ -130,7 +131,9 @@
         message.set_request_uri(options_.path);
         message.headers().add("Idempotency-Key", key);
         if (options_.method != "GET")
-            message.set_body(std::string(options_.bodyBytes, 'b'), "text/plain");
+            message.set_body(options_.body.empty() ? std::string(options_.bodyBytes, 'b')
+                                                   : options_.body,
+                             "text/plain");
         try {
             const auto answer = chooseClient().request(message).get();
             const auto body = answer.extract_string(true).get();
