--- a/packages/consensus/include/consensus/node.h
+++ b/packages/consensus/include/consensus/node.h
@@ -18,9 +18,10 @@
 {
     voter_id self = 0;
     std::vector<voter_id> voters; // first membership; a later one comes from the log
-    milliseconds electionTimeout {300};
+    milliseconds electionTimeout {300}; // must be equal on all nodes; the lease relies on it
     milliseconds heartbeat {60};
-    std::uint64_t snapshotEntries = 10000; // log entries between snapshots
+    // Log entries between snapshots; more than 16 MiB of log also cause one.
+    std::uint64_t snapshotEntries = 10000;
     std::uint64_t seed = 1; // of the randomized election time-out
 };
 
@@ -57,11 +58,14 @@
 {
 public:
     // Receives the reply of state_machine::apply(), or NotLeader, NoQuorum or StorageFailed. After
-    // NoQuorum the command may still be committed later.
+    // NoQuorum and StorageFailed the command may still be committed later; after NotLeader it is
+    // not. Proposals fail with NoQuorum after five election time-outs.
     using completion = std::function<void(result<byte_buffer>)>;
 
     // Opens a node on its storage: loads the snapshot and the log and restores the state machine.
-    // A lost or damaged log makes the node a learner. Fails with StorageFailed.
+    // A lost or damaged log makes the node a learner until a leader readmits it. A new folder
+    // counts as lost, unless all voters of the options answer that theirs are new too: the first
+    // start of a group needs all its voters. Fails with StorageFailed.
     static result<std::unique_ptr<node>> open(const node_options &options, storage &files,
                                               transport &network, state_machine &machine,
                                               time_point now);
@@ -81,11 +85,15 @@
     // that reads of the state machine are linearizable.
     virtual bool canServeReads(time_point now) const = 0;
 
-    // Hands leadership to the most advanced voter; no effect on other roles.
+    // Hands leadership to the most advanced voter that answers; no effect on other roles. Proposals
+    // fail with NotLeader meanwhile. If the voter does not take over within an election time-out,
+    // this node stays leader or steps down.
     virtual void transferLeadership(time_point now) = 0;
 
     // Adds a learner that becomes a voter once it has caught up and synced, or removes a voter.
-    // One change at a time: fails with InProgress, or with NotLeader.
+    // One change at a time: fails with InProgress, NotLeader, InvalidValue for the last voter, or
+    // NoQuorum, after which the change may still be committed later unless the learner never
+    // caught up within ten election time-outs.
     virtual void addVoter(time_point now, voter_id id, completion done) = 0;
     virtual void removeVoter(time_point now, voter_id id, completion done) = 0;
 
--- a/packages/consensus/src/core-election.cc
+++ b/packages/consensus/src/core-election.cc
@@ -177,6 +177,9 @@
         if (found == peers_.end() || found->second.rejoining)
             continue;
         const auto &other = found->second;
+        // A voter that does not answer can't take over.
+        if (other.acked + options_.node.electionTimeout < now_)
+            continue;
         if (best == nullptr
             || std::pair(other.matched, other.acked) > std::pair(best->matched, best->acked)) {
             best = &other;
--- a/packages/consensus/src/core-leader.cc
+++ b/packages/consensus/src/core-leader.cc
@@ -152,7 +152,8 @@
         while (!from.inFlight.empty() && from.inFlight.front() <= from.matched)
             from.inFlight.pop_front();
     } else if (input.index > from.matched) {
-        from.next = std::max(from.matched + 1, std::min(input.index, input.hint + 1));
+        const auto limit = std::min(input.index, log_.last() + 1);
+        from.next = std::max(from.matched + 1, std::min(limit, input.hint + 1));
         from.inFlight.clear();
         from.probing = true;
     }
--- a/packages/consensus/src/core.cc
+++ b/packages/consensus/src/core.cc
@@ -37,7 +37,7 @@
             memberships_.emplace_back(entry.index, decodeVoters(entry.payload));
     }
     durable_ = log_.last();
-    role_ = canVote() && isVoter() ? node_role::Follower : node_role::Learner;
+    role_ = mayStand() ? node_role::Follower : node_role::Learner;
     resetElectionDeadline();
 }
 
@@ -57,7 +57,7 @@
 void core::finishStep()
 {
     if (role_ != node_role::Leader && role_ != node_role::Candidate)
-        role_ = canVote() && isVoter() ? node_role::Follower : node_role::Learner;
+        role_ = mayStand() ? node_role::Follower : node_role::Learner;
     if (dirty_) {
         out_.syncToken = ++written_;
         dirty_ = false;
@@ -74,9 +74,10 @@
     }
     if (fresh_ && rejoining_)
         sendProbes();
-    if (!canVote() || !isVoter())
+    if (!mayStand())
         return;
-    const bool alone = voters().size() == 1 && role_ != node_role::Candidate;
+    const bool alone
+            = voters() == std::vector {options_.node.self} && role_ != node_role::Candidate;
     if (alone || now_ >= electionDeadline_)
         startElection(true, false);
 }
@@ -227,6 +228,8 @@
     const auto base = input.index > keep ? input.index - keep : 0;
     if (base > log_.base())
         log_.compactTo(base);
+    while (log_.base() < input.index && log_.bytes() > options_.logBytes / 4)
+        log_.compactTo(log_.base() + 1);
 }
 
 void core::saveVote()
@@ -269,6 +272,17 @@
     return contains(voters(), options_.node.self);
 }
 
+// A voter that is being removed stands for election until the removal is committed. It may hold the
+// only log that the remaining voters accept, and they could not elect anyone else.
+bool core::mayStand() const
+{
+    if (!canVote() || isVoter())
+        return canVote();
+    const auto count = memberships_.size();
+    return count > 1 && memberships_.back().first > committed_
+            && contains(memberships_[count - 2].second, options_.node.self);
+}
+
 log_index core::appendOwn(entry_kind kind, byte_buffer payload)
 {
     log_entry entry {log_.last() + 1, term_, kind, std::move(payload)};
@@ -295,7 +309,8 @@
 bool core::wantsSnapshot() const
 {
     const auto from = snapshot_ ? snapshot_->index : 0;
-    return applied_ >= from + options_.node.snapshotEntries;
+    const bool large = log_.bytes() > options_.logBytes + uncommittedBytes_;
+    return applied_ >= from + options_.node.snapshotEntries || (large && applied_ > from);
 }
 
 bool core::canServeReads(time_point now) const
--- a/packages/consensus/src/core.h
+++ b/packages/consensus/src/core.h
@@ -78,7 +78,8 @@
     node_options node;
     std::uint64_t disk = 0; // identity for a disk without a usable log; must differ per loss
     std::uint64_t batchBytes = std::uint64_t {256} << 10U; // of one Append and one snapshot chunk
-    std::uint64_t uncommittedBytes = std::uint64_t {64} << 20U; // limit of proposals in flight
+    std::uint64_t uncommittedBytes = std::uint64_t {32} << 20U; // limit of proposals in flight
+    std::uint64_t logBytes = std::uint64_t {16} << 20U; // log size that asks for a snapshot
 };
 
 // Replicated log without I/O, clocks or threads: Raft with pre-vote, quorum check, leader lease,
@@ -158,6 +159,7 @@
     void sendDurable(message value);
     message reply(message_kind kind, const message &to) const;
     bool isVoter() const;
+    bool mayStand() const;
     bool canVote() const { return !rejoining() && !failed_; }
     log_index appendOwn(entry_kind kind, byte_buffer payload);
     std::uint64_t nextRandom();
--- a/packages/consensus/src/memory-log.h
+++ b/packages/consensus/src/memory-log.h
@@ -25,12 +25,21 @@
         return index == base_ ? baseTerm_ : at(index).term;
     }
 
-    void append(log_entry entry) { entries_.push_back(std::move(entry)); }
+    // Returns the size of all payloads.
+    std::uint64_t bytes() const { return bytes_; }
+
+    void append(log_entry entry)
+    {
+        bytes_ += entry.payload.size();
+        entries_.push_back(std::move(entry));
+    }
 
     void truncateFrom(log_index index)
     {
-        while (last() >= index && !entries_.empty())
+        while (last() >= index && !entries_.empty()) {
+            bytes_ -= entries_.back().payload.size();
             entries_.pop_back();
+        }
     }
 
     // Drops the entries up to the given one, which must be held.
@@ -38,6 +47,7 @@
     {
         while (base_ < index) {
             baseTerm_ = entries_.front().term;
+            bytes_ -= entries_.front().payload.size();
             entries_.pop_front();
             ++base_;
         }
@@ -46,6 +56,7 @@
     void reset(log_index base, term_number baseTerm)
     {
         entries_.clear();
+        bytes_ = 0;
         base_ = base;
         baseTerm_ = baseTerm;
     }
@@ -53,6 +64,7 @@
 private:
     log_index base_ = 0;
     term_number baseTerm_ = 0;
+    std::uint64_t bytes_ = 0;
     std::deque<log_entry> entries_;
 };
 
--- a/packages/consensus/test/core-test.cc
+++ b/packages/consensus/test/core-test.cc
@@ -1,5 +1,7 @@
 #include "core.h"
 
+#include <random>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace persimmon;
@@ -166,3 +168,57 @@
     LONGS_EQUAL(1, sent.size());
     LONGS_EQUAL(3, sent.front().index);
 }
+
+// Guards against: a log of large commands that fills the memory before it has many entries.
+TEST(core, asksForASnapshotOfALargeLog)
+{
+    auto node = makeCore();
+    const auto now = makeLeader(node);
+    while (!node.wantsSnapshot()) {
+        step(node, now, propose_event {byte_buffer(1 << 20U)});
+        const auto index = node.currentStatus().lastIndex;
+        CHECK(index < 25);
+        step(node, now, message_event {acknowledgement(index, now)});
+        node.markApplied(index);
+    }
+    CHECK(node.currentStatus().lastIndex > 15);
+    step(node, now, compact_event {node.applied(), {}});
+    CHECK_FALSE(node.wantsSnapshot());
+}
+
+// Guards against: a message with absurd numbers that ends the process.
+TEST(core, survivesAbsurdMessages)
+{
+    std::mt19937_64 random(1);
+    const auto number = [&]() -> std::uint64_t {
+        const std::uint64_t values[] {random() % 6, random(), ~std::uint64_t {0}, random() % 6};
+        return values[random() % 4];
+    };
+    for (int round = 0; round < 300; ++round) {
+        auto node = makeCore();
+        auto now = round % 2 == 0 ? makeLeader(node) : start;
+        for (int i = 0; i < 60; ++i) {
+            const auto term = random() % 8 == 0 ? number() : node.currentStatus().term;
+            auto value = from(2, static_cast<message_kind>(random() % 10), term);
+            value.index = number();
+            value.logTerm = number();
+            value.commit = number();
+            value.hint = number();
+            value.stamp = number();
+            value.disk = random() % 2 == 0 ? 5 : number();
+            value.granted = random() % 2 == 0;
+            value.preVote = random() % 2 == 0;
+            value.rejoining = random() % 4 == 0;
+            value.offset = number();
+            value.total = number();
+            value.data.resize(random() % 3);
+            if (random() % 2 == 0)
+                value.entries = {{value.index + 1, number(), entry_kind::Command, {}}};
+            // Only what the codec lets pass reaches the core.
+            if (auto decoded = decode(encode(value)))
+                step(node, now += milliseconds(5), message_event {std::move(*decoded)});
+            step(node, now, tick_event {});
+            node.markApplied(node.currentStatus().committed);
+        }
+    }
+}
--- a/packages/consensus/test/fuzz-test.cc
+++ b/packages/consensus/test/fuzz-test.cc
@@ -33,11 +33,12 @@
     Change,
     Network,
     SlowDisk,
+    FailDisk,
 };
 
-constexpr const char *faultNames[] {"propose",  "advance",  "crash",   "start",
-                                    "powerCut", "loseDisk", "isolate", "heal",
-                                    "transfer", "change",   "network", "slowDisk"};
+constexpr const char *faultNames[] {"propose",  "advance",  "crash",   "start",    "powerCut",
+                                    "loseDisk", "isolate",  "heal",    "transfer", "change",
+                                    "network",  "slowDisk", "failDisk"};
 
 constexpr voter_id nodes = 5;
 
@@ -55,7 +56,8 @@
                                                    {1, fault::Transfer},
                                                    {1, fault::Change},
                                                    {1, fault::Network},
-                                                   {1, fault::SlowDisk}});
+                                                   {1, fault::SlowDisk},
+                                                   {1, fault::FailDisk}});
     unsigned first = *rc::gen::inRange(0U, 1000U);
     unsigned second = *rc::gen::inRange(0U, 1000U);
 
@@ -91,7 +93,7 @@
                 group.loseDisk(id, second % 2 == 0);
             break;
         case fault::Isolate:
-            return group.isolate(pick(second));
+            return group.isolate(pick(second), first % 4 == 0);
         case fault::Heal:
             return group.heal();
         case fault::Transfer:
@@ -108,6 +110,9 @@
         case fault::SlowDisk:
             group.disk(id).syncTime = std::chrono::microseconds(100 * second);
             break;
+        case fault::FailDisk:
+            group.disk(id).failing = true;
+            break;
         }
     }
 
@@ -159,6 +164,8 @@
     group.latency = std::chrono::microseconds(500);
     for (voter_id id = 1; id <= nodes; ++id) {
         group.disk(id).syncTime = std::chrono::microseconds(1000);
+        if (group.disk(id).failing)
+            group.crash(id);
         group.start(id);
     }
     group.settle(milliseconds(30000));
--- a/packages/consensus/test/node-test.cc
+++ b/packages/consensus/test/node-test.cc
@@ -297,6 +297,25 @@
     group.commitOne();
 }
 
+// Guards against: a group that stays without a leader because the leader being removed holds the
+// longest log but no longer stands for election.
+TEST(node, leaderBeingRemovedStandsUntilItsRemovalIsCommitted)
+{
+    cluster group(25, 4);
+    commit(group, 10);
+    const auto old = group.awaitLeader();
+    group.isolate({old});
+    group.at(old).removeVoter(group.now(old), old, [](const auto &) {});
+    group.advance(milliseconds(200));
+    group.crash(otherThan({old}));
+    group.advance(milliseconds(1000));
+    group.heal();
+    group.commitOne();
+    group.start(otherThan({old}));
+    group.settle();
+    LONGS_EQUAL(3, group.state(group.awaitLeader()).peers.size());
+}
+
 // Guards against: a new voter that counts in the quorum before it holds the log.
 TEST(node, unreachableLearnerNeverCounts)
 {
--- a/packages/consensus/test/storage-test.cc
+++ b/packages/consensus/test/storage-test.cc
@@ -93,6 +93,70 @@
     std::unique_ptr<storage> files;
 };
 
+// A group of one node over real files; the caller's thread owns the node.
+class single_node : public transport
+{
+public:
+    explicit single_node(const std::string &folder)
+        : machine_(judge_)
+    {
+        node_options options;
+        options.self = 1;
+        options.voters = {1};
+        options.snapshotEntries = 10;
+        auto files = openFileStorage(folder, [this](auto function) {
+            const std::lock_guard guard(mutex_);
+            posted_.push_back(std::move(function));
+        });
+        files_ = std::move(valueOf(files));
+        auto opened = node::open(options, *files_, *this, machine_, now());
+        node_ = std::move(valueOf(opened));
+    }
+
+    void send(voter_id, byte_view) override { }
+
+    void runUntil(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 5000 && !condition(); ++i) {
+            std::vector<std::function<void()>> batch;
+            {
+                const std::lock_guard guard(mutex_);
+                batch.swap(posted_);
+            }
+            for (const auto &function : batch)
+                function();
+            node_->tick(now());
+            ::usleep(1000);
+        }
+        CHECK_TRUE(condition());
+    }
+
+    void commit(std::uint64_t command)
+    {
+        bool done = false;
+        runUntil([this] { return node_->canServeReads(now()); });
+        node_->propose(now(), toBuffer(command),
+                       [&](const auto &outcome) { done = !failed(outcome); });
+        runUntil([&] { return done; });
+    }
+
+    std::size_t commands() const { return machine_.state.size(); }
+
+private:
+    static time_point now()
+    {
+        return std::chrono::time_point_cast<std::chrono::microseconds>(
+                std::chrono::steady_clock::now());
+    }
+
+    testing::oracle judge_;
+    testing::recording_machine machine_;
+    std::mutex mutex_;
+    std::vector<std::function<void()>> posted_;
+    std::unique_ptr<storage> files_;
+    std::unique_ptr<node> node_;
+};
+
 } // namespace
 
 TEST_GROUP(storage)
@@ -171,6 +235,7 @@
 {
     disk.fill();
     disk.flipByte("log-1", 500);
+    std::filesystem::remove(disk.path / "synced"); // a hint that may be lost
     auto state = disk.reopen();
     CHECK_TRUE(state.damaged);
     CHECK_TRUE(state.entries.empty());
@@ -203,6 +268,7 @@
         CHECK_FALSE(failed(disk.sync()));
         disk.files.reset();
         std::filesystem::remove(disk.path / name);
+        std::filesystem::remove(disk.path / "synced");
         CHECK_TRUE(disk.reopen().damaged);
         disk.files.reset();
         std::filesystem::remove_all(disk.path);
@@ -245,3 +311,14 @@
     CHECK_FALSE(state.damaged);
     CHECK(state.entries.size() >= 10 && state.entries.size() < 200);
 }
+
+// Guards against: files and node that disagree about what is stored, over snapshots and restarts.
+TEST(storage, nodeRestartsFromItsFiles)
+{
+    for (std::uint64_t start = 0; start < 3; ++start) {
+        single_node group(disk.path);
+        for (std::uint64_t i = 0; i < 25; ++i)
+            group.commit(start * 25 + i);
+        LONGS_EQUAL((start + 1) * 25, group.commands());
+    }
+}
--- a/packages/consensus/test/test-network.h
+++ b/packages/consensus/test/test-network.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "base/log.h"
 #include "consensus/node.h"
-#include "consensus/storage.h"
+#include "test-disk.h"
 
 #include <algorithm>
 #include <cstring>
@@ -9,13 +10,12 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
 
-// Nodes over a simulated network with simulated disks and time. Deterministic for a seed.
+// Nodes over a simulated network. Deterministic for a seed.
 namespace persimmon::consensus::testing {
 
 inline byte_buffer toBuffer(std::uint64_t number, std::size_t size = sizeof(std::uint64_t))
@@ -137,136 +137,6 @@
     oracle &judge_;
 };
 
-// Runs functions at simulated times.
-class simulation
-{
-public:
-    explicit simulation(std::uint64_t seed)
-        : random(seed)
-    {
-    }
-
-    void after(std::chrono::microseconds delay, std::function<void()> action)
-    {
-        queue_.emplace(now + delay, std::move(action));
-    }
-
-    void advance(std::chrono::microseconds duration)
-    {
-        const auto end = now + duration;
-        while (!queue_.empty() && queue_.begin()->first <= end) {
-            auto next = queue_.extract(queue_.begin());
-            now = next.key();
-            next.mapped()();
-        }
-        now = end;
-    }
-
-    std::uint64_t below(std::uint64_t limit) { return random() % limit; }
-
-    time_point now = time_point(std::chrono::hours(1));
-    std::mt19937_64 random;
-
-private:
-    std::multimap<time_point, std::function<void()>> queue_;
-};
-
-// Disk that keeps what was synced. A crash keeps a random part of the writes that were not.
-class memory_disk : public storage
-{
-public:
-    explicit memory_disk(simulation &world)
-        : world_(world)
-    {
-        image.fresh = true;
-    }
-
-    result<stored_state> load() override { return image; }
-    void saveVote(const vote_record &vote) override
-    {
-        write([vote](stored_state &to) {
-            to.vote = vote;
-            to.damaged = to.damaged && vote.rejoining;
-        });
-    }
-
-    void append(std::span<const log_entry> entries) override
-    {
-        for (const auto &entry : entries) {
-            write([entry](stored_state &to) {
-                std::erase_if(to.entries, [&](const auto &e) { return e.index >= entry.index; });
-                to.entries.push_back(entry);
-            });
-        }
-    }
-
-    void saveSnapshot(const snapshot_record &snapshot) override
-    {
-        write([snapshot](stored_state &to) {
-            const auto at = std::ranges::find(to.entries, snapshot.index, &log_entry::index);
-            const bool same = at != to.entries.end() && at->term == snapshot.term;
-            to.snapshot = snapshot;
-            std::erase_if(to.entries,
-                          [&](const auto &e) { return !same || e.index <= snapshot.index; });
-        });
-    }
-
-    void sync(std::function<void(status)> done) override
-    {
-        const auto upTo = written_;
-        world_.after(syncTime + std::chrono::microseconds(world_.below(500)),
-                     [this, upTo, done, epoch = epoch_] {
-                         if (epoch != epoch_)
-                             return;
-                         persist(upTo);
-                         done(failing ? status(error {result_code::StorageFailed, "disk", {}, {}})
-                                      : status());
-                     });
-    }
-
-    void crash()
-    {
-        ++epoch_;
-        persist(persisted_ + world_.below(written_ - persisted_ + 1));
-        pending_.clear();
-        persisted_ = written_;
-    }
-
-    // Loses everything; a damaged disk knows about it, a replaced one looks like a new one.
-    void lose(bool damaged)
-    {
-        image = {};
-        image.fresh = !damaged;
-        image.damaged = damaged;
-    }
-
-    stored_state image; // what a crash keeps for certain
-    std::chrono::microseconds syncTime {1000};
-    bool failing = false;
-
-private:
-    void write(std::function<void(stored_state &)> change)
-    {
-        pending_.push_back(std::move(change));
-        ++written_;
-    }
-
-    void persist(std::uint64_t upTo)
-    {
-        for (; persisted_ < upTo; ++persisted_) {
-            pending_.front()(image);
-            pending_.erase(pending_.begin());
-            image.fresh = false;
-        }
-    }
-
-    simulation &world_;
-    std::vector<std::function<void(stored_state &)>> pending_;
-    std::uint64_t written_ = 0;
-    std::uint64_t persisted_ = 0;
-    std::uint64_t epoch_ = 0;
-};
-
 // Up to seven nodes; the first `voters` of them form the first membership.
 class cluster
 {
@@ -275,6 +145,7 @@
             std::uint64_t snapshotEntries = 50)
         : world(seed)
     {
+        setLogLevel("off");
         options_.snapshotEntries = snapshotEntries;
         options_.seed = seed;
         for (voter_id id = 1; id <= voters; ++id)
@@ -306,6 +177,7 @@
         at.self.reset();
         ++at.life;
         at.disk.crash();
+        at.disk.failing = false;
     }
 
     void loseDisk(voter_id id, bool damaged)
@@ -335,8 +207,13 @@
         return world.now + (world.now - start) * driftPermille.at(id) / 1000;
     }
 
-    // Cuts the links between the group and all others, in both directions.
-    void isolate(std::set<voter_id> group) { group_ = std::move(group); }
+    // Cuts the links between the group and all others. If it is deaf, only those to the group.
+    void isolate(std::set<voter_id> group, bool deaf = false)
+    {
+        group_ = std::move(group);
+        deaf_ = deaf;
+    }
+
     void heal() { group_.clear(); }
 
     void advance(std::chrono::microseconds duration) { world.advance(duration); }
@@ -478,6 +355,12 @@
             judge.checkRead(machine(id).state);
     }
 
+    bool isCut(voter_id from, voter_id to) const
+    {
+        return deaf_ ? !group_.contains(from) && group_.contains(to)
+                     : group_.contains(from) != group_.contains(to);
+    }
+
     void send(voter_id from, voter_id to, byte_view message)
     {
         if (!members_.contains(to) || world.below(100) < dropPercent)
@@ -488,7 +371,7 @@
                     = latency + std::chrono::microseconds(world.below(2 * latency.count() + 1));
             world.after(delay,
                         [this, from, to, bytes = byte_buffer(message.begin(), message.end())] {
-                            if (!running(to) || group_.contains(from) != group_.contains(to))
+                            if (!running(to) || isCut(from, to))
                                 return;
                             at(to).receive(now(to), bytes);
                             noteState(to);
@@ -499,6 +382,7 @@
     node_options options_;
     std::map<voter_id, std::unique_ptr<member>> members_;
     std::set<voter_id> group_;
+    bool deaf_ = false;
     std::uint64_t lastCommand_ = 0;
 };
 
