--- /dev/null
+++ b/packages/placement/bench/replay.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "workload.h"
+
+#include <map>
+#include <string>
+
+namespace persimmon::placement::bench {
+
+struct replay_options
+{
+    std::string strategy = "buddy";
+    double completionWeight = 0.5;
+    double fragmentationWeight = 0.5;
+    milliseconds reservationDelay {30000};
+};
+
+struct replay_result
+{
+    std::map<std::string, std::vector<double>> completionSeconds; // by class and size, and "all"
+    double fragmentation = 0; // mean share of free accelerators that can't hold the largest gang
+    double utilization = 0; // mean share of used accelerators until the last arrival
+    std::uint64_t guaranteeWaits = 0; // waits of guaranteed jobs over the deadline
+    std::uint64_t guaranteeStarts = 0;
+    double longestLargeWait = 0; // seconds
+    std::uint64_t preemptions = 0;
+    double lostHours = 0; // accelerator hours of preempted attempts
+    std::uint64_t ended = 0; // without a result
+    std::uint64_t unfinished = 0;
+    std::vector<double> decisionMicros;
+};
+
+// Replays the arrivals through one scheduler with virtual time.
+replay_result replay(const workload &load, const replay_options &options);
+
+} // namespace persimmon::placement::bench
--- a/packages/placement/src/capacity_index.cc
+++ b/packages/placement/src/capacity_index.cc
@@ -326,6 +326,34 @@
     }
 }
 
+// Upper bound of the tasks that all workers together hold, from the free lists alone; counting
+// stops at the number needed.
+std::uint32_t capacity_index::slotBound(const request &need) const
+{
+    const auto sizes = sizesAtLeast(need.task);
+    std::uint32_t total = 0;
+    for (std::size_t level = columnOf(need.task); level < levels; ++level) {
+        for (auto rest = used_[level] & sizes; rest != 0; rest &= rest - 1) {
+            const auto size = static_cast<std::uint32_t>(std::countr_zero(rest));
+            auto most = largest_;
+            if (level < levels - 1) {
+                most.accelerators = static_cast<std::int32_t>(level);
+            }
+            if (size / 8 < 7) {
+                most.cores = (1 << (size / 8)) - 1;
+            }
+            if (size % 8 < 7) {
+                most.memoryMb = (1 << (size % 8 + 12)) - 1;
+            }
+            total += buckets_[level * 64 + size].count * slotsOf(need.task, most);
+            if (total >= need.tasks) {
+                return need.tasks;
+            }
+        }
+    }
+    return total;
+}
+
 bool capacity_index::inOneWorker(const strategy &order, const request &need,
                                  std::vector<index_t> &out) const
 {
@@ -356,6 +384,9 @@
     auto left = need.tasks;
     const auto take = [&](index_t rack) {
         const auto count = std::min(left, slotsOfRack(rack, need.task));
+        if (count == 0) {
+            return false;
+        }
         fillRack(order, rack, need.task, count, out);
         left -= count;
         return left == 0;
@@ -427,7 +458,7 @@
     if (inOneWorker(order, need, workers)) {
         return true;
     }
-    if (need.tasks > 1 && fits(need.task, largest_)) {
+    if (need.tasks > 1 && fits(need.task, largest_) && slotBound(need) >= need.tasks) {
         if (inOneRack(order, need, workers)) {
             return true;
         }
--- a/packages/placement/src/capacity_index.h
+++ b/packages/placement/src/capacity_index.h
@@ -48,7 +48,10 @@
     // Sets what is available on a worker. Negative amounts count as nothing.
     void set(index_t worker, const amount &available);
 
-    const amount &available(index_t worker) const { return available_[worker]; }
+    amount available(index_t worker) const
+    {
+        return worker < available_.size() ? available_[worker] : amount {};
+    }
 
     // Finds one worker for each task, all in one region, as close together as possible.
     bool find(const strategy &order, const request &need, std::vector<index_t> &workers) const;
@@ -94,6 +97,7 @@
     void moveWorker(index_t worker, std::uint32_t from, std::uint32_t to);
     void moveRack(index_t rack, const columns &before, const columns &after);
     void insertRack(index_t rack);
+    std::uint32_t slotBound(const request &need) const;
     bool inOneWorker(const strategy &order, const request &need, std::vector<index_t> &out) const;
     bool inOneRack(const strategy &order, const request &need, std::vector<index_t> &out) const;
     bool inZones(const strategy &order, const request &need, std::span<const index_t> zones,
--- a/packages/placement/src/claims.cc
+++ b/packages/placement/src/claims.cc
@@ -54,7 +54,9 @@
     const auto &owned = state_.workspaces[job.workspace].cells;
     const auto mine
             = std::ranges::find(owned, job.pool, &std::pair<index_t, std::vector<index_t>>::first);
-    if (mine == owned.end() || job.task.accelerators == 0) {
+    const auto &owner = state_.workspaces[job.workspace];
+    if (mine == owned.end() || job.task.accelerators == 0
+        || owner.guaranteed - owner.owned < job.accelerators()) {
         return false;
     }
     const auto &topology = state_.pools[job.pool].places;
@@ -101,6 +103,9 @@
     --state_.workspaces[entry.workspace].waiting;
     state_.allot(job, kind, std::move(places));
     entry.state = phase::Claiming;
+    if (!entry.repeatable) {
+        state_.pools[entry.pool].fixedClaims.push_back(job);
+    }
     report(job, {wait_reason::PreemptionPending, {}});
     const auto urgentToo = kind == hold::Owned;
     const auto taken = entry.places;
@@ -195,7 +200,8 @@
     for (const auto number : state_.workers[worker].jobs) {
         const auto &job = state_.jobs[number];
         const auto isFree = [&](const task_place &place) {
-            return !state_.workers[place.worker].free().isNegative();
+            const auto &worker = state_.workers[place.worker];
+            return worker.healthy() && !worker.free().isNegative();
         };
         if (job.state == phase::Claiming && std::ranges::all_of(job.places, isFree)) {
             ready.emplace_back(job.id, number);
--- a/packages/placement/src/core.cc
+++ b/packages/placement/src/core.cc
@@ -130,11 +130,7 @@
         places.push_back({state_.workerNamed(input.workers[task]), noIndex});
     }
     state_.allot(job, entry.repeatable ? hold::Soft : hold::Pinned, std::move(places));
-    const auto pool = state_.jobs[job].pool;
-    adopted_.resize(std::max<std::size_t>(adopted_.size(), pool + 1));
-    adopted_[pool].push_back(job);
-    state_.jobs[job].adopted = true;
-    state_.pools[pool].bindNeeded = true;
+    adoptLater(job);
 }
 
 void core::handle(const job_cancelled &input)
--- a/packages/placement/src/core.h
+++ b/packages/placement/src/core.h
@@ -10,7 +10,7 @@
 
 // Most full searches of one step; the rest of a pass continues with the next event. Bounds the cost
 // of a step after a burst or the loss of a rack.
-constexpr std::uint32_t maxSearches = 24;
+constexpr std::uint32_t maxSearches = 12;
 // Most job_waits actions of one step beyond the one of a submitted job.
 constexpr std::uint32_t maxReports = 32;
 // Reservations of one pool at a time. More would idle too many workers.
@@ -65,6 +65,7 @@
     bool neverRuns(index_t job);
     void judgeWaiting(index_t pool);
     void enqueue(index_t job);
+    void requeue(index_t job);
     void start(index_t job, std::string_view reason);
     void finish(index_t job, result_code code, std::string detail);
     void retry(index_t job, const attempt_ended &input);
@@ -77,9 +78,11 @@
     bool runPass(index_t pool);
     bool tryWorkspace(index_t pool, const candidate &next);
     bool tryGroup(index_t group);
+    bool passOver(index_t group);
+    bool knownToFail(job_kind &kind, const pool_entry &pool, bool urgent) const;
+    void rememberFailure(index_t job, const refusal &why);
     std::optional<refusal> tryStart(index_t job, bool search);
     std::optional<refusal> startOutside(index_t job, bool search);
-    bool startAvoiding(index_t job, const request &need, std::vector<index_t> &found);
     bool findIn(view kind, index_t job, std::vector<index_t> &found);
     refusal explain(index_t job);
     bool overQuota(index_t job) const;
@@ -107,12 +110,17 @@
     void applyGuarantees(const tables_changed &input);
     void matchCells(index_t workspace, index_t pool, const shape &block, std::uint32_t count);
     void bindCells(index_t pool);
+    void bindAnew(index_t pool);
+    void makeRoom(index_t pool);
+    void unbindIdle(index_t pool);
     bool bindCell(index_t cell);
     void bindInOrder(index_t pool, bool largestFirst);
     bool cellIdle(index_t cell) const;
+    bool cellPreemptible(index_t cell) const;
     void dropCell(index_t cell);
     void dropCellsOf(index_t worker);
     void adopt(index_t pool);
+    void adoptLater(index_t job);
     bool adoptInto(index_t job, index_t cell);
     bool coverJob(index_t job, index_t cell, std::vector<index_t> &rows) const;
 
@@ -129,6 +137,8 @@
     bool reservedFree(const reservation &held) const;
     void stopBackfill(const reservation &held);
     bool backfill(index_t job);
+    void measureReserved(index_t pool);
+    bool mayBackfill(const job_group &group, const job_kind &kind) const;
 
     // Failing workers (quarantine.cc)
     void recordFailure(index_t job, index_t worker);
@@ -146,7 +156,8 @@
     time_point now_ {};
     std::vector<action> actions_;
     std::uint32_t searches_ = 0; // left in this step
-    std::uint64_t pass_ = 0;
+    amount reservedRoom_; // of the pool in the current pass
+    time_point reservedUntil_ {};
     std::deque<index_t> unreported_; // groups whose members have not all been told the reason
     std::vector<index_t> suspects_; // workers in quarantine or on probation
     std::vector<std::vector<index_t>> adopted_; // by pool: restored jobs without a decided hold
--- a/packages/placement/src/dispatch.cc
+++ b/packages/placement/src/dispatch.cc
@@ -45,9 +45,10 @@
         return;
     }
     startReserved(pool);
-    if (runPass(pool)) {
-        entry.dispatchNeeded = false;
-    }
+    measureReserved(pool);
+    // A pass may queue jobs whose claim it takes away; they are looked at with the next event.
+    entry.dispatchNeeded = false;
+    entry.dispatchNeeded = !runPass(pool) || entry.dispatchNeeded;
 }
 
 // Baseline: the oldest job starts first, and no later job passes it.
@@ -71,7 +72,6 @@
 // the searches of this step are used up.
 bool core::runPass(index_t pool)
 {
-    ++pass_;
     std::vector<candidate> order;
     for (const auto &[workspace, groups] : queue_.groupsOf(pool)) {
         const auto share = shareOf(workspace);
@@ -115,7 +115,8 @@
     }
     std::vector<std::pair<double, index_t>> groups;
     for (const auto group : place->second) {
-        if ((queue_.group(group).priority == priority_class::Urgent) == next.urgent) {
+        if ((queue_.group(group).priority == priority_class::Urgent) == next.urgent
+            && !passOver(group)) {
             groups.emplace_back(scoreOf(group), group);
         }
     }
@@ -131,14 +132,48 @@
     return false;
 }
 
-// Tries the oldest job of a group, without a search when one of its size has failed in this pass.
+// Whether the last search for this kind of job failed and no worker has gained room for one task.
+bool core::knownToFail(job_kind &kind, const pool_entry &pool, bool urgent) const
+{
+    if (!kind.failed[urgent] || pool.changeCount - kind.seen[urgent] > pool_entry::maxChanges) {
+        return false;
+    }
+    for (auto &next = kind.seen[urgent]; next < pool.changeCount; ++next) {
+        const auto worker = pool.changes[next % pool_entry::maxChanges];
+        auto room = pool.at(view::Free).available(worker);
+        if (urgent) {
+            room = larger(room, pool.at(view::Reclaim).available(worker));
+            room = larger(room, pool.at(view::Bindable).available(worker));
+        }
+        if (slotsOf(kind.task, room) > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Whether a group can be passed over without looking at its oldest job.
+bool core::passOver(index_t id)
+{
+    auto &group = queue_.group(id);
+    const auto &pool = state_.pools[group.pool];
+    const auto &owner = state_.workspaces[group.workspace];
+    const auto urgent = group.priority == priority_class::Urgent;
+    auto &kind = queue_.kindOf(id);
+    if (group.reason == wait_reason::None || group.reason == wait_reason::QuotaReached
+        || (owner.guaranteed > owner.owned && kind.task.accelerators > 0)) {
+        return false;
+    }
+    return knownToFail(kind, pool, urgent) && !mayBackfill(group, kind);
+}
+
+// Tries the oldest job of a group, without a search when one of its kind is known to fail.
 bool core::tryGroup(index_t group)
 {
     const auto job = queue_.oldest(group);
-    const auto urgent = queue_.group(group).priority == priority_class::Urgent ? 1U : 0U;
+    const auto urgent = queue_.group(group).priority == priority_class::Urgent;
     auto &kind = queue_.kindOf(group);
-    const auto known = kind.failedPass[urgent] == pass_;
-    const auto avoids = !state_.jobs[job].failedOn.empty();
+    const auto known = knownToFail(kind, state_.pools[state_.jobs[job].pool], urgent);
     auto why = tryStart(job, !known);
     if (!why) {
         return true;
@@ -146,15 +181,24 @@
     if (known && why->reason == wait_reason::NoFreeBlock) {
         why = refusal {kind.reason[urgent], kind.behind[urgent]};
     }
-    if (!known && !avoids && why->reason != wait_reason::QuotaReached) {
-        kind.failedPass[urgent] = pass_;
-        kind.reason[urgent] = why->reason;
-        kind.behind[urgent] = why->behind;
-    }
     setReason(group, *why);
     return false;
 }
 
+// Remembers that a search for this kind of job failed.
+void core::rememberFailure(index_t job, const refusal &why)
+{
+    const auto &entry = state_.jobs[job];
+    const auto urgent = entry.priority == priority_class::Urgent;
+    auto &kind = queue_.kindOf(entry.group);
+    if (entry.failedOn.empty()) {
+        kind.failed[urgent] = true;
+        kind.seen[urgent] = state_.pools[entry.pool].changeCount;
+        kind.reason[urgent] = why.reason;
+        kind.behind[urgent] = why.behind;
+    }
+}
+
 bool core::overQuota(index_t job) const
 {
     const auto &entry = state_.jobs[job];
@@ -211,40 +255,47 @@
     if (backfill(job)) {
         return std::nullopt;
     }
-    if (search && entry.priority == priority_class::Urgent && claimUrgent(job)) {
+    if (search && entry.priority == priority_class::Urgent && !pool.order->strictOrder
+        && claimUrgent(job)) {
         return std::nullopt;
     }
-    return search ? explain(job) : refusal {};
+    if (!search) {
+        return refusal {};
+    }
+    const auto why = explain(job);
+    rememberFailure(job, why);
+    return why;
 }
 
-// Searches one kind of capacity and keeps the job away from workers on which it failed, unless no
-// other worker is left.
+// Searches one kind of capacity and keeps the job away from workers on which it failed, unless the
+// other healthy workers could not hold it even when idle.
 bool core::findIn(view kind, index_t job, std::vector<index_t> &found)
 {
     const auto &entry = state_.jobs[job];
     auto &pool = state_.pools[entry.pool];
-    auto &index = pool.at(kind);
     const request need {entry.task, entry.tasks};
-    if (entry.failedOn.empty() || pool.present <= entry.failedOn.size()) {
-        return index.find(*pool.order, need, found);
+    if (entry.failedOn.empty()) {
+        return pool.at(kind).find(*pool.order, need, found);
     }
     for (const auto worker : entry.failedOn) {
         if (state_.workers[worker].pool == entry.pool) {
-            index.set(state_.workers[worker].local, {});
+            pool.at(kind).set(state_.workers[worker].local, {});
+            pool.at(view::Healthy).set(state_.workers[worker].local, {});
         }
     }
-    const auto placed = index.find(*pool.order, need, found);
+    const auto avoidable = pool.at(view::Healthy).find(*pool.order, need, found);
+    const auto placed = avoidable && pool.at(kind).find(*pool.order, need, found);
     for (const auto worker : entry.failedOn) {
         state_.refresh(worker);
     }
-    return placed;
+    return avoidable ? placed : pool.at(kind).find(*pool.order, need, found);
 }
 
 core::refusal core::explain(index_t job)
 {
     const auto &entry = state_.jobs[job];
     const auto &pool = state_.pools[entry.pool];
-    if (!entry.repeatable
+    if (!entry.repeatable && !pool.cells.empty()
         && pool.at(view::Free).find(*pool.order, {entry.task, entry.tasks}, found_)) {
         return {wait_reason::GuaranteeHeld, {}};
     }
@@ -316,6 +367,9 @@
 {
     for (auto left = maxReports; left > 0 && !unreported_.empty();) {
         auto &group = queue_.group(unreported_.front());
+        if (group.reason == wait_reason::None && !group.jobs.empty()) {
+            break; // not tried yet
+        }
         auto next = group.jobs.upper_bound({group.reported, noIndex});
         for (; left > 0 && next != group.jobs.end(); ++next, --left) {
             group.reported = next->first;
--- a/packages/placement/src/guarantees.cc
+++ b/packages/placement/src/guarantees.cc
@@ -130,6 +130,12 @@
     for (const auto &[key, count] : wanted) {
         matchCells(key[0], key[1], {key[2], key[3]}, count);
     }
+    for (index_t job = 0; job < state_.jobs.size(); ++job) {
+        const auto &entry = state_.jobs[job];
+        if (entry.state == phase::Running && entry.kind == hold::Pinned) {
+            adoptLater(job);
+        }
+    }
 }
 
 void core::matchCells(index_t workspace, index_t pool, const shape &block, std::uint32_t count)
@@ -161,6 +167,20 @@
                                [&](index_t number) { return state_.slices[number].used.isZero(); });
 }
 
+bool core::cellPreemptible(index_t id) const
+{
+    for (const auto number : state_.cells[id].slices) {
+        for (const auto job : state_.workers[state_.slices[number].worker].jobs) {
+            const auto uses = [&](const task_place &task) { return task.slice == number; };
+            if (!state_.jobs[job].repeatable
+                && std::ranges::any_of(state_.jobs[job].places, uses)) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 // Unbinds a cell. Jobs inside keep running outside of any guarantee.
 void core::dropCell(index_t id)
 {
@@ -182,6 +202,7 @@
             abandonClaim(job);
         } else {
             state_.convert(job, entry.repeatable ? hold::Soft : hold::Pinned);
+            adoptLater(job);
         }
     }
     state_.unbind(id);
@@ -232,8 +253,8 @@
     }
 }
 
-// Binds all cells to healthy workers. If some don't fit beside the others, all idle cells are bound
-// anew in two orders.
+// Binds all cells to healthy workers; where some don't fit beside the others, the idle ones are
+// moved.
 void core::bindCells(index_t number)
 {
     auto &pool = state_.pools[number];
@@ -246,21 +267,81 @@
         return;
     }
     bindInOrder(number, false);
+    if (pool.unboundCells > 0) {
+        bindAnew(number);
+    }
+    if (pool.unboundCells > 0) {
+        makeRoom(number);
+    }
+}
+
+// Last resort after a loss of workers: gives up claims of jobs that can't be preempted, covers
+// running ones by their workspace's cells, and moves cells whose jobs can all be preempted. The
+// latter run on outside until a cell covers them again.
+void core::makeRoom(index_t number)
+{
+    auto &pool = state_.pools[number];
+    const auto claims = pool.fixedClaims;
+    for (const auto job : claims) {
+        abandonClaim(job);
+    }
+    unbindIdle(number);
+    for (index_t job = 0; job < state_.jobs.size(); ++job) {
+        const auto &entry = state_.jobs[job];
+        if (entry.pool == number && entry.state == phase::Running && entry.kind == hold::Pinned) {
+            adoptLater(job);
+        }
+    }
+    adopt(number);
+    const auto all = pool.cells;
+    for (const auto id : all) {
+        if (state_.cells[id].bound && cellPreemptible(id)) {
+            dropCell(id);
+        }
+    }
+    bindAnew(number);
+    adopt(number);
+    bindInOrder(number, false);
+    pool.bindNeeded = false;
+}
+
+void core::unbindIdle(index_t pool)
+{
+    for (const auto id : state_.pools[pool].cells) {
+        if (state_.cells[id].bound && cellIdle(id)) {
+            state_.unbind(id);
+        }
+    }
+}
+
+// Binds all idle cells anew, in the orders known, until all are bound.
+void core::bindAnew(index_t number)
+{
+    auto &pool = state_.pools[number];
     for (const auto largestFirst : {false, true, false}) {
         if (pool.unboundCells == 0) {
             return;
         }
-        for (const auto id : pool.cells) {
-            if (state_.cells[id].bound && cellIdle(id)) {
-                state_.unbind(id);
-            }
-        }
+        unbindIdle(number);
         bindInOrder(number, largestFirst);
     }
 }
 
-// Decides for restored jobs whether they run inside their workspace's guarantee, in order of their
-// ids. The ledger does not record cells, so they are bound around the jobs.
+// The next binding tries to cover the job with a cell of its workspace.
+void core::adoptLater(index_t job)
+{
+    auto &entry = state_.jobs[job];
+    adopted_.resize(std::max<std::size_t>(adopted_.size(), entry.pool + 1));
+    if (!entry.adopted) {
+        adopted_[entry.pool].push_back(job);
+    }
+    entry.adopted = true;
+    state_.pools[entry.pool].bindNeeded = true;
+}
+
+// Decides for restored jobs, and for jobs that lost their cell, whether they run inside their
+// workspace's guarantee, in order of their ids. The ledger does not record cells, so they are bound
+// around the jobs.
 void core::adopt(index_t pool)
 {
     if (pool >= adopted_.size()) {
--- a/packages/placement/src/jobs.cc
+++ b/packages/placement/src/jobs.cc
@@ -76,6 +76,19 @@
     ++state_.workspaces[state_.jobs[job].workspace].waiting;
 }
 
+// Queues a job again; it is told its reason unless it starts within this step.
+void core::requeue(index_t job)
+{
+    enqueue(job);
+    const auto id = state_.jobs[job].group;
+    auto &group = queue_.group(id);
+    group.reported = {};
+    if (!group.reporting) {
+        group.reporting = true;
+        unreported_.push_back(id);
+    }
+}
+
 // Turns an allotment into a running attempt.
 void core::start(index_t job, std::string_view reason)
 {
@@ -83,6 +96,7 @@
     entry.state = phase::Running;
     entry.started = now_;
     entry.reason = wait_reason::None;
+    std::erase(state_.pools[entry.pool].fixedClaims, job);
     ++entry.attempt;
     place_job placed {entry.id, entry.attempt, {}, entry.borrowed, std::string(reason)};
     placed.workers.reserve(entry.places.size());
@@ -121,6 +135,7 @@
         entry.adopted = false;
     }
     entry.backfill = false;
+    std::erase(pool.fixedClaims, job);
     const auto places = entry.places;
     state_.release(job);
     index_t last = noIndex;
@@ -136,7 +151,7 @@
 void core::abandonClaim(index_t job)
 {
     giveBack(job);
-    enqueue(job);
+    requeue(job);
 }
 
 void core::retry(index_t job, const attempt_ended &input)
@@ -159,7 +174,7 @@
     } else {
         giveBack(job);
         state_.jobs[job].queued = now_;
-        enqueue(job);
+        requeue(job);
     }
 }
 
--- a/packages/placement/src/quarantine.cc
+++ b/packages/placement/src/quarantine.cc
@@ -99,7 +99,11 @@
                     && state_.jobs[job].started >= entry.until
                     && now_ - state_.jobs[job].started > options_.earlyFailure;
         };
-        if (entry.condition == health::Probing && std::ranges::any_of(entry.jobs, proven)) {
+        // Without any job to probe with, the worker is trusted again after a further period; it
+        // would otherwise stay closed to jobs that are not repeatable.
+        const auto unused = entry.jobs.empty() && now_ >= entry.until + options_.quarantineTime;
+        if (entry.condition == health::Probing
+            && (unused || std::ranges::any_of(entry.jobs, proven))) {
             readmit(worker);
         }
     }
--- a/packages/placement/src/records.h
+++ b/packages/placement/src/records.h
@@ -115,11 +115,17 @@
     bool perAcceleratorKnown = false;
     std::vector<index_t> cells;
     std::uint32_t unboundCells = 0;
+    std::vector<index_t> fixedClaims; // claims of jobs that are not repeatable
     bool bindNeeded = false;
     bool dispatchNeeded = false;
     bool judgeNeeded = false; // jobs that waited without workers have to be judged
     time_point grown {}; // last time a new worker joined
     std::vector<reservation> reservations;
+    // Workers whose free room grew most recently; a kind of job that did not fit can fit again only
+    // with one of these.
+    static constexpr std::uint64_t maxChanges = 64;
+    std::array<index_t, maxChanges> changes {};
+    std::uint64_t changeCount = 0;
     std::set<std::pair<job_id, index_t>> arrivals; // all waiting jobs
     std::set<std::pair<job_id, index_t>> large; // waiting gangs that need more than one worker
 
@@ -162,6 +168,7 @@
     std::int32_t guaranteed = 0; // accelerators of all cells
     std::int32_t used = 0; // accelerators
     std::int32_t usedCores = 0;
+    std::int32_t owned = 0; // accelerators used inside its cells
     std::int32_t borrowed = 0;
     std::uint32_t waiting = 0;
     std::vector<std::pair<index_t, std::vector<index_t>>> cells; // pool and its cells
--- a/packages/placement/src/reservations.cc
+++ b/packages/placement/src/reservations.cc
@@ -225,6 +225,30 @@
     }
 }
 
+// Notes the largest free room on a reserved worker and the latest start of a reserved gang, so that
+// a pass looks closely only at jobs that may run before it.
+void core::measureReserved(index_t pool)
+{
+    reservedRoom_ = {};
+    reservedUntil_ = {};
+    for (const auto &held : state_.pools[pool].reservations) {
+        for (const auto worker : held.workers) {
+            reservedRoom_ = larger(reservedRoom_, state_.workers[worker].free());
+        }
+        reservedUntil_ = std::max(reservedUntil_, held.ready);
+    }
+}
+
+bool core::mayBackfill(const job_group &group, const job_kind &kind) const
+{
+    if (!kind.repeatable || !fits(kind.task, reservedRoom_)) {
+        return false;
+    }
+    const auto accelerators = kind.task.accelerators * std::int32_t(kind.tasks);
+    const auto bound = estimator_.upperBound(group.workspace, group.priority, accelerators);
+    return bound.count() > 0 && now_ + bound <= reservedUntil_;
+}
+
 // Starts a preemptible job on reserved workers if 9 of 10 similar jobs ended before the gang is
 // expected to start.
 bool core::backfill(index_t number)
--- a/packages/placement/src/state.cc
+++ b/packages/placement/src/state.cc
@@ -147,6 +147,7 @@
         }
         if (entry.kind == hold::Owned) {
             slices[place.slice].used += delta;
+            workspaces[entry.workspace].owned += delta.accelerators;
         }
     }
 }
@@ -302,6 +303,9 @@
     const auto free = worker.free();
     const auto bindable = worker.capacity - worker.bound - worker.pinned;
     const amount none;
+    const auto before = std::array {
+            pool.at(view::Free).available(local), pool.at(view::Unbound).available(local),
+            pool.at(view::Reclaim).available(local), pool.at(view::Bindable).available(local)};
     pool.at(view::Free).set(local, open || probe ? free : none);
     pool.at(view::Unbound).set(local, open ? smaller(free, bindable) : none);
     const auto reclaim = worker.capacity - worker.owned - worker.pinned - worker.urgent;
@@ -309,6 +313,12 @@
     pool.at(view::Bindable).set(local, healthy ? bindable : none);
     pool.at(view::Healthy).set(local, healthy ? worker.capacity : none);
     pool.at(view::Known).set(local, worker.capacity);
+    const auto after = std::array {
+            pool.at(view::Free).available(local), pool.at(view::Unbound).available(local),
+            pool.at(view::Reclaim).available(local), pool.at(view::Bindable).available(local)};
+    if (!std::ranges::equal(after, before, fits)) {
+        pool.changes[pool.changeCount++ % pool_entry::maxChanges] = local;
+    }
 }
 
 std::vector<task_place> cluster::toPlaces(index_t pool, const std::vector<index_t> &local) const
--- a/packages/placement/src/wait_queue.cc
+++ b/packages/placement/src/wait_queue.cc
@@ -80,7 +80,6 @@
         dropGroup(job.group, job);
     }
     job.group = noIndex;
-    job.reason = wait_reason::None;
     --size_;
 }
 
--- a/packages/placement/src/wait_queue.h
+++ b/packages/placement/src/wait_queue.h
@@ -29,7 +29,9 @@
     std::uint32_t tasks = 0;
     bool repeatable = true;
     std::uint32_t groups = 0;
-    std::array<std::uint64_t, 2> failedPass {}; // by urgency: last pass in which it did not fit
+    // By urgency: whether the last search failed, and how many changes of the pool it had seen.
+    std::array<bool, 2> failed {};
+    std::array<std::uint64_t, 2> seen {};
     std::array<wait_reason, 2> reason {};
     std::array<job_id, 2> behind {};
 };
