--- a/packages/control/src/coordinator.cc
+++ b/packages/control/src/coordinator.cc
@@ -129,6 +129,7 @@
 
 void leader_coordinator::startPlacement()
 {
+    view_.complete();
     jobs_.start();
     configuration_.start();
 }
--- a/packages/control/src/job_actions.cc
+++ b/packages/control/src/job_actions.cc
@@ -34,8 +34,7 @@
     const auto found = tracked_.find(action.job);
     if (found == tracked_.end()) {
         // The job has ended; placement's attempt is over before it began.
-        step(placement::attempt_ended {
-                action.job, action.attempt, placement::attempt_end::Cancelled, {}});
+        deferred_.push_back({action.job, action.attempt, placement::attempt_end::Cancelled, {}});
         return;
     }
     auto &job = found->second;
--- a/packages/control/src/jobs.cc
+++ b/packages/control/src/jobs.cc
@@ -32,6 +32,7 @@
     started_ = false;
     orders_.reset();
     events_.clear();
+    deferred_.clear();
     tracked_.clear();
     byWorker_.clear();
     quarantined_.clear();
@@ -109,8 +110,13 @@
 
 void jobs::tick()
 {
-    if (started_)
+    if (started_) {
+        const auto deferred = std::move(deferred_);
+        deferred_.clear();
+        for (const auto &ended : deferred)
+            step(ended);
         step(placement::clock_ticked {});
+    }
     if (shared_.now() >= nextReconcile_) {
         nextReconcile_ = shared_.now() + reconcilePeriod;
         reconcile();
@@ -298,12 +304,16 @@
             member.incarnation = worker->incarnation;
             continue;
         }
-        const placement::attempt_ended ended {id, job.placementAttempt, attempt_end::WorkerLost,
-                                              member.worker};
+        const auto name = member.worker;
+        deferred_.push_back({id, job.placementAttempt, attempt_end::WorkerLost, name});
         job.grant.reset();
         job.wish.reset();
         job.placed = false;
-        step(ended);
+        // Placement knows the worker from an older grant only, or has not taken in its state.
+        if (!worker)
+            step(placement::worker_left {name});
+        else if (!serving)
+            step(placement::worker_leaving {name});
         return false;
     }
     return true;
@@ -355,11 +365,11 @@
 void jobs::upstreamGone(const std::string &id)
 {
     quarantined_.erase(id);
-    // Stops are proposed before placement hears of the loss, so that it finds the attempts
-    // stopping.
-    concern(id);
+    // Placement hears of the loss first: an attempt that ends at once must not be placed there
+    // again.
     if (started_)
         step(placement::worker_left {id});
+    concern(id);
 }
 
 std::vector<std::string> jobs::quarantined() const
--- a/packages/control/src/jobs.h
+++ b/packages/control/src/jobs.h
@@ -90,6 +90,8 @@
     bool started_ = false;
     bool stepping_ = false;
     std::deque<placement::event> events_;
+    // Refused placements, told in the next tick so that placement can't repeat them without end.
+    std::vector<placement::attempt_ended> deferred_;
     std::map<job_id, tracked> tracked_;
     std::map<std::string, std::set<job_id>> byWorker_;
     std::set<std::string> quarantined_;
--- a/packages/control/src/slot_shares.cc
+++ b/packages/control/src/slot_shares.cc
@@ -46,12 +46,14 @@
         // Shares of an earlier leader end with its leases.
         target.known = request.viewEpoch == 0 || request.viewEpoch == shared_.term()
                 || shared_.earlierLeasesEnded();
+        update();
         return;
     }
     if (target.sentSequence == 0 || request.viewEpoch != shared_.term()
         || request.viewSequence < target.sentSequence)
         return;
     target.held = target.sent;
+    std::erase_if(target.held, [](const auto &item) { return item.second == 0; });
     target.known = true;
 }
 
@@ -144,7 +146,10 @@
 
 slot_shares::share_map slot_shares::allowed(const holder &target) const
 {
+    // Shares of upstreams that are gone are taken back by name, because an empty list changes none.
     share_map shares;
+    for (const auto &[upstream, slots] : target.held)
+        shares[upstream] = 0;
     const bool mayGrow = shared_.earlierLeasesEnded() && allKnown();
     for (const auto &[upstream, wish] : target.target) {
         std::uint64_t others = 0;
--- a/packages/control/src/slot_shares.h
+++ b/packages/control/src/slot_shares.h
@@ -17,9 +17,9 @@
 // exceed the slots. An answer is known to be in force once the entry echoes its view sequence; a
 // share that is taken back counts until then or until the entry's lease has ended.
 //
-// An answer without shares leaves an entry's shares as they are. A new leader sends none until the
-// leases of the earlier leader have ended, and then first takes back all shares that it doesn't
-// know.
+// An entry's shares end with its lease. An answer without shares leaves them as they are. A new
+// leader sends none until the leases of the earlier leader have ended, and then first takes back
+// all shares that it doesn't know.
 class slot_shares
 {
 public:
--- a/packages/control/src/view.cc
+++ b/packages/control/src/view.cc
@@ -17,6 +17,12 @@
     epoch_ = epoch;
 }
 
+void view::complete()
+{
+    partial_ = false;
+    floor_ = bump();
+}
+
 void view::record(std::uint64_t &last, change_kind kind, const std::string &upstream)
 {
     changes_.erase(last);
@@ -35,6 +41,9 @@
     target.announced = true;
     target.value = value;
     record(target.upstreamSequence, change_kind::Upstream, value.id);
+    // An entry may hold orders of an earlier term for this upstream; having none replaces them.
+    if (partial_ && target.ordersSequence == 0)
+        record(target.ordersSequence, change_kind::Orders, value.id);
     if (value.state == upstream_state::Gone) {
         tombstones_[target.upstreamSequence] = value.id;
         dropTombstones();
@@ -81,11 +90,12 @@
 
 void view::fillAll(sync_response &response) const
 {
-    response.fullView = true;
+    response.fullView = !partial_;
     for (const auto &[upstream, source] : items_) {
         if (source.announced && source.value.state != upstream_state::Gone)
             response.upstreams.push_back(source.value);
-        if (!source.orders.empty())
+        // A partial view also says which upstreams have no orders any more.
+        if (!source.orders.empty() || (partial_ && source.ordersSequence != 0))
             response.orders.push_back({upstream, source.orders});
     }
 }
--- a/packages/control/src/view.h
+++ b/packages/control/src/view.h
@@ -18,8 +18,12 @@
 class view
 {
 public:
+    // Starts the partial view of a term: entries keep what they hold of an earlier term.
     void reset(std::uint64_t epoch);
 
+    // The view is whole from now on; each entry gets it once and drops what it holds beyond it.
+    void complete();
+
     std::uint64_t epoch() const { return epoch_; }
     std::uint64_t sequence() const { return sequence_; }
 
@@ -63,6 +67,7 @@
 
     std::uint64_t epoch_ = 0;
     std::uint64_t sequence_ = 0;
+    bool partial_ = true;
     std::uint64_t floor_ = 0; // changes up to here may have been dropped
     std::map<std::string, item> items_;
     std::map<std::uint64_t, change> changes_;
--- a/packages/control/test/coordinator-test.cc
+++ b/packages/control/test/coordinator-test.cc
@@ -60,3 +60,102 @@
     for (const auto &worker : scene->workers())
         CHECK_TRUE(worker.tasks.empty());
 }
+
+// Guards against results of one attempt mixed with another's, and against a failing worker that
+// ends a job at once.
+TEST(coordinator, retriesAfterAFailedTask)
+{
+    scene->workers()[0].failsTasks = true;
+    const auto id = submit(sampleJob(1));
+    scene->run(6000);
+    scene->workers()[0].failsTasks = false;
+    scene->run(20000);
+    CHECK_TRUE(job(id).state == job_state::Done);
+    CHECK_TRUE(job(id).attempt > 1);
+    CHECK_TRUE(job(id).results[0] == std::to_string(job(id).attempt) + "/0");
+}
+
+// Guards against urgent work that waits for the end of others, and a preempted job that is lost.
+TEST(coordinator, preemptsForUrgentWork)
+{
+    const auto first = submit(sampleJob(4), "first");
+    scene->run(2600);
+    CHECK_TRUE(job(first).state == job_state::Running);
+    auto spec = sampleJob(4);
+    spec.priority = priority_class::Urgent;
+    const auto urgent = submit(spec, "urgent");
+    const auto asked = scene->now();
+    while (job(urgent).state != job_state::Running && scene->now() < asked + milliseconds {5500})
+        scene->run(5);
+    CHECK_TRUE(job(urgent).state == job_state::Running);
+    scene->run(20000);
+    CHECK_TRUE(job(first).state == job_state::Done);
+    const auto kinds = job(first).records;
+    CHECK_TRUE(std::ranges::any_of(kinds, [&](const auto &record) {
+        return record.kind == decision_kind::Preempted && record.other == urgent;
+    }));
+}
+
+// Guards against waves of cancellations that leave tasks behind.
+TEST(coordinator, cancelsWaitingAndRunningJobs)
+{
+    std::vector<job_id> ids(20);
+    for (auto &id : ids)
+        id = submit(sampleJob(3), "k" + std::to_string(&id - ids.data()));
+    scene->run(2500);
+    for (const auto id : ids)
+        scene->leader().cancelJob(scene->now(), id, [](const auto &) {});
+    scene->run(3000);
+    for (const auto id : ids)
+        CHECK_TRUE(job(id).state == job_state::Cancelled);
+    for (const auto &worker : scene->workers())
+        CHECK_TRUE(worker.tasks.empty());
+}
+
+// Guards against a dry run that changes the tables and guarantees that can't be bound.
+TEST(coordinator, checksTablesBeforeTheyAreAccepted)
+{
+    auto next = sampleTables();
+    next.workspaces[0].guarantees = {{"gpu", {8, 8}, 1}};
+    auto code = result_code::Ok;
+    const auto note = [&](const auto &outcome) {
+        code = failed(outcome) ? errorOf(outcome).code : result_code::Ok;
+    };
+    auto &leader = scene->leader();
+    leader.applyTables(scene->now(), next, 1, "too-large", false, note);
+    CHECK_TRUE(code == result_code::GuaranteeUnbindable);
+    next.workspaces[0].guarantees[0].block.workers = 2;
+    leader.applyTables(scene->now(), next, 1, "dry", true, note);
+    CHECK_TRUE(code == result_code::Ok);
+    LONGS_EQUAL(1, scene->data().current.version);
+    next.routes[0].pool = "nowhere";
+    leader.applyTables(scene->now(), next, 1, "broken", false, note);
+    CHECK_TRUE(code == result_code::InvalidTable);
+}
+
+// Guards against idle entries that hold slots which a busy entry needs, and against loans that do
+// not return.
+TEST(coordinator, lendsSlotsByDemand)
+{
+    scene->run(1000);
+    auto &busy = scene->entries()[0];
+    auto &other = scene->entries()[1];
+    LONGS_EQUAL(4, busy.shares["w1"]);
+    busy.load = 100;
+    scene->run(2000);
+    CHECK_TRUE(busy.shares["w1"] >= 7);
+    other.load = 100;
+    scene->run(2000);
+    LONGS_EQUAL(4, busy.shares["w1"]);
+    LONGS_EQUAL(4, other.shares["w1"]);
+}
+
+// Guards against a drain request that is lost or stops other entries.
+TEST(coordinator, drainsOneEntry)
+{
+    CHECK_TRUE(failed(scene->leader().drainEntry("entry-9")));
+    CHECK_FALSE(failed(scene->leader().drainEntry("entry-2")));
+    scene->run(100);
+    CHECK_TRUE(scene->entries()[1].drained);
+    CHECK_FALSE(scene->entries()[0].drained);
+}
--- a/packages/control/test/stand-ins.h
+++ b/packages/control/test/stand-ins.h
@@ -224,20 +224,28 @@
         }
     }
 
+    // Urgent jobs first; nothing passes an urgent job that waits.
     void place()
     {
-        const auto pending = [](const auto &item) { return item.second.preempted; };
-        for (auto &[id, target] : jobs_) {
-            if (!target.workers.empty() || target.cancelled || tryPlace(id, target))
-                continue;
-            if (!target.waits)
-                actions_.push_back(
-                        placement::job_waits {id, wait_reason::NoFreeBlock, {}, "first fit"});
-            target.waits = true;
-            if (target.spec.priority == priority_class::Urgent
-                && std::ranges::none_of(jobs_, pending))
-                preemptFor(id);
-        }
+        bool blocked = false;
+        for (const auto priority : {priority_class::Urgent, priority_class::Standard})
+            for (auto &[id, target] : jobs_)
+                if (target.spec.priority == priority && target.workers.empty() && !target.cancelled
+                    && (blocked || !tryPlace(id, target)))
+                    blocked = wait(id, target) || blocked;
+    }
+
+    bool wait(job_id id, job &target)
+    {
+        if (!target.waits)
+            actions_.push_back(
+                    placement::job_waits {id, wait_reason::NoFreeBlock, {}, "first fit"});
+        target.waits = true;
+        const bool urgent = target.spec.priority == priority_class::Urgent;
+        if (urgent
+            && std::ranges::none_of(jobs_, [](const auto &item) { return item.second.preempted; }))
+            preemptFor(id);
+        return urgent;
     }
 
     std::map<job_id, job> jobs_;
--- a/packages/control/test/world.h
+++ b/packages/control/test/world.h
@@ -39,6 +39,7 @@
 {
     announcement about;
     bool up = true;
+    bool cut = false; // reaches no entry, but its tasks go on
     bool failsTasks = false;
     bool leavingAcknowledged = false;
     time_point acknowledgedAt;
@@ -154,6 +155,7 @@
         target.tokens.clear();
         target.leavingAcknowledged = false;
         target.up = true;
+        target.cut = false;
         target.nextAnnounce = now_;
     }
 
@@ -162,7 +164,7 @@
         sim_entry fresh;
         fresh.id = target.id;
         fresh.incarnation = target.incarnation + 1;
-        fresh.call = target.call;
+        fresh.call = target.call + 1; // an answer to the old process is not taken
         fresh.load = target.load;
         target = std::move(fresh);
     }
@@ -226,7 +228,7 @@
             return;
         target.nextAnnounce = now_ + options_.control.announcePeriod;
         auto &entry = entries_[random_(static_cast<std::uint32_t>(entries_.size()))];
-        if (entry.up && !lost())
+        if (entry.up && !target.cut && !lost())
             announceTo(target, entry);
     }
 
@@ -238,14 +240,17 @@
     void announceTo(sim_worker &target, sim_entry &entry)
     {
         auto &known = entry.heard[target.about.id];
-        if (known != target.about)
+        // The leader ignores that an upstream is alive while it does not know its announcement.
+        const auto shown = entry.view.find(target.about.id);
+        const bool missing = shown == entry.view.end()
+                || shown->second.incarnation != target.about.incarnation;
+        if (missing || known != target.about)
             entry.changed.insert(target.about.id);
         known = target.about;
         entry.heardAt[target.about.id] = now_;
         for (const auto &[ref, task] : target.tasks)
             takeReport(target, entry, ref, task);
-        const auto shown = entry.view.find(target.about.id);
-        if (shown == entry.view.end() || shown->second.incarnation != target.about.incarnation)
+        if (missing)
             return;
         if (shown->second.state == upstream_state::Leaving
             && target.about.state == upstream_state::Leaving && !target.leavingAcknowledged) {
@@ -387,6 +392,9 @@
         for (const auto &report : request.reports)
             if (target.reports[report.task] == report)
                 target.changedReports.erase(report.task);
+        // Shares end with the lease under which they were given.
+        if (now_ >= target.leaseUntil)
+            target.shares.clear();
         applyView(target, response);
         if (response.hasTables)
             target.applied = response.newTables;
