--- a/packages/entry/bench/slots-bench.cc
+++ b/packages/entry/bench/slots-bench.cc
@@ -140,7 +140,8 @@
             schedule(sharePeriodMs, {.kind = event_kind::Shares});
             break;
         case event_kind::Confirm:
-            held_[item.entry] = share_[item.entry];
+            held_ = share_;
+            applyTargets();
             break;
         }
     }
@@ -249,27 +250,24 @@
         }
         for (std::size_t upstream = 0; upstream < upstreamCount; ++upstream)
             shareOne(upstream, wantedAt(upstream, total), wantedAt(upstream, ahead));
-        for (std::size_t entry = 0; entry < entryCount; ++entry) {
-            schedule(2 * messageMs, {.kind = event_kind::Confirm, .entry = entry});
-            dispatch(entry);
-        }
+        applyTargets();
+        schedule(2 * messageMs, {.kind = event_kind::Confirm});
     }
 
     // Slots that each entry wants at one upstream: the same whole number at all upstreams, or its
-    // total spread over them, with the remainders of the entries at different upstreams.
+    // total spread over them, the rest at upstreams that differ between the entries.
     entry_counts wantedAt(std::size_t upstream, const entry_counts &total) const
     {
         entry_counts want {};
-        std::size_t offset = 0;
         for (std::size_t entry = 0; entry < entryCount; ++entry) {
             const auto load = total.at(entry);
             const auto rest = load % upstreamCount;
+            const auto offset = entry * upstreamCount / entryCount;
             auto each = load / upstreamCount;
             if (kind_ == sharing::LendingWhole)
                 each += rest > 0 ? 1 : 0;
             else if ((upstream + upstreamCount - offset) % upstreamCount < rest)
                 ++each;
-            offset = (offset + rest) % upstreamCount;
             want.at(entry)
                     = static_cast<std::uint32_t>(std::min<std::size_t>(each, slotsOfUpstream));
         }
@@ -305,16 +303,26 @@
         entry_counts fixed {};
         fixed.fill(1);
         spend(fixed);
-        for (std::size_t entry = 0; entry < entryCount; ++entry) {
-            std::uint32_t others = 0;
-            for (std::size_t other = 0; other < entryCount; ++other) {
-                if (other != entry)
-                    others += std::max(held_[other][upstream], share_[other][upstream]);
+        for (std::size_t entry = 0; entry < entryCount; ++entry)
+            target_[entry][upstream] = given.at(entry);
+    }
+
+    // Brings the shares to their targets as far as the others have given slots up.
+    void applyTargets()
+    {
+        for (std::size_t upstream = 0; upstream < upstreamCount; ++upstream) {
+            for (std::size_t entry = 0; entry < entryCount; ++entry) {
+                std::uint32_t others = 0;
+                for (std::size_t other = 0; other < entryCount; ++other)
+                    others += other == entry ? 0 : held_[other][upstream];
+                const auto room = others >= slotsOfUpstream ? 0 : slotsOfUpstream - others;
+                auto &share = share_[entry][upstream];
+                share = std::min(target_[entry][upstream], room);
+                held_[entry][upstream] = std::max(held_[entry][upstream], share);
             }
-            const auto room = others >= slotsOfUpstream ? 0 : slotsOfUpstream - others;
-            share_[entry][upstream] = std::min(given.at(entry), room);
-            held_[entry][upstream] = std::max(held_[entry][upstream], share_[entry][upstream]);
         }
+        for (std::size_t entry = 0; entry < entryCount; ++entry)
+            dispatch(entry);
     }
 
     using matrix = std::array<std::array<std::uint32_t, upstreamCount>, entryCount>;
@@ -327,7 +335,8 @@
     std::priority_queue<event> events_;
     std::array<std::deque<double>, entryCount> queues_;
     matrix share_ {};
-    matrix held_ {};
+    matrix target_ {};
+    matrix held_ {}; // upper bound of what the entries use, as the leader knows it
     matrix used_ {};
     std::array<std::uint32_t, upstreamCount> busy_ {};
     std::array<std::deque<event>, upstreamCount> backlog_;
