--- a/packages/entry/test/entry_program-test.cc
+++ b/packages/entry/test/entry_program-test.cc
@@ -102,7 +102,7 @@
     LONGS_EQUAL(2, peer.requests().size());
 }
 
-// Guards against the library following a redirect, which would send a POST a second time.
+// Guards against the library following a redirect, which would send a request a second time.
 TEST(entry_program, relaysRedirects)
 {
     scripted_peer peer([](std::size_t, const std::string &) {
@@ -112,7 +112,8 @@
     configure(entry.control, {peer.address()});
     CHECK(entry.waitReady());
     CHECK_CONTAINS(" 307 ", entry.call("POST", "/once/x", "Idempotency-Key: k\r\n", "b"));
-    LONGS_EQUAL(1, peer.requests().size());
+    CHECK_CONTAINS(" 307 ", entry.call("GET", "/r/x"));
+    LONGS_EQUAL(2, peer.requests().size());
 }
 
 // Guards against relaying answers as whole that are cut, or whose end can't be known.
@@ -263,6 +264,7 @@
     std::thread second([&] { queued = entry.call("GET", "/r/2"); });
     CHECK(entry_fixture::waitFor([&] { return !peer.requests().empty(); }));
     CHECK(entry.shutDown());
+    LONGS_EQUAL(2, peer.requests().size()); // one slot: the second is sent after the first
     first.join();
     second.join();
     CHECK_CONTAINS("fine", running);
@@ -284,6 +286,7 @@
     const auto accepted = submit(R"({"workspace":"boards","tasks":64,"cores":2,"payload":"x"})");
     CHECK_CONTAINS(" 202 ", accepted);
     CHECK_CONTAINS("{\"id\":1}", accepted);
+    CHECK_CONTAINS("Persimmon-Outcome: ran", accepted);
     CHECK_CONTAINS("made", entry.call("GET", "/v1/jobs/1/result"));
     CHECK_CONTAINS("not_found", entry.call("GET", "/v1/jobs/7"));
     const std::vector<std::pair<std::string, std::string>> refused {
@@ -300,8 +303,12 @@
     for (const auto &[body, part] : refused) {
         const auto answer = submit(body);
         CHECK_CONTAINS("HTTP/1.1 4", answer);
+        CHECK_CONTAINS("Persimmon-Outcome: not_run", answer);
         CHECK_CONTAINS(part, answer);
     }
+    const auto large = submit(std::string(1048577, ' '));
+    CHECK_CONTAINS("body_too_large", large);
+    CHECK_CONTAINS("Persimmon-Outcome: not_run", large);
 }
 
 // Guards against orders from an entry that does not know the leader's view, which would stop tasks,
@@ -332,6 +339,8 @@
         const std::scoped_lock lock(entry.control.mutex);
         entry.control.reachable = false;
     }
+    std::this_thread::sleep_for(milliseconds {300});
+    CHECK_CONTAINS("not_ready", announce("serving"));
     CHECK_CONTAINS("not_ready", announce("leaving"));
     {
         const std::scoped_lock lock(entry.control.mutex);
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -30,6 +30,8 @@
 {
     http_response reply(static_cast<web::http::status_code>(answer.status));
     reply.set_body(std::move(answer.body), answer.contentType);
+    if (answer.contentType.empty())
+        reply.headers().remove("Content-Type");
     for (const auto &field : answer.headers)
         reply.headers().add(field.name, field.value);
     // The caller may have gone; the library reports that by a failed task that nobody needs.
@@ -169,6 +171,14 @@
     }
 
 private:
+    void refuse(const http_request &message, const error &reason) const
+    {
+        auto answer = refusal(reason);
+        answer.headers.insert(answer.headers.end(), options_.refusalHeaders.begin(),
+                              options_.refusalHeaders.end());
+        send(message, std::move(answer));
+    }
+
     void receive(const http_request &message)
     {
         auto refused = checkHeaders(message.headers(), options_);
@@ -189,7 +199,7 @@
                 const std::optional<error> &refused)
     {
         if (refused || !reader.withinLimit()) {
-            send(message, refusal(refused.value_or(bodyTooLarge(options_))));
+            refuse(message, refused.value_or(bodyTooLarge(options_)));
             reader.stream.close();
             return;
         }
