Keep the first membership of a voter in its data folder

Cause: in a trial, a voter was lost and a fourth one was added to the settings; after a rolling restart the remaining two of three voters elected no leader, because the log starts from the voters in the settings at each start and two of four are no quorum.

Change: the first membership is stored at the first start (first-voters) and read from then on. persimmonctl repeats a change of voters that meets another one in progress, and reports a voter's refusal rather than a later lost connection.

--- a/packages/apps/include/apps/operator_client.h
+++ b/packages/apps/include/apps/operator_client.h
@@ -14,9 +14,10 @@
 {
     std::string method = "GET";
     std::string path;
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
-    bool repeatable = true; // false: not sent again after an answer was lost
+    std::vector<std::pair<std::string, std::string>> headers {};
+    std::string body {};
+    milliseconds attemptTimeout {2000}; // a silent voter delays the call by this time
+    bool waitsForOthers = false; // true: sent again while the leader answers in_progress
 };
 
 struct operator_answer
@@ -27,7 +28,7 @@
     std::string body;
 };
 
-// Sends calls to the operators' API of the voters. Calls block.
+// Sends calls to the operators' API of the voters. Calls block. All calls may be repeated safely.
 class operator_client
 {
 public:
@@ -41,7 +42,8 @@
             = 0;
 
     // Sends a call to the leader: moves on to the hinted or next voter on not_leader, no_quorum and
-    // lost answers until the time has passed. Fails with the last error.
+    // lost answers until the time has passed. Fails with the last refusal of a voter, or with
+    // RpcFailed when none answered.
     virtual result<operator_answer> callLeader(const operator_call &call, milliseconds timeout) = 0;
 };
 
--- a/packages/apps/include/apps/voter.h
+++ b/packages/apps/include/apps/voter.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace persimmon::apps {
 
@@ -21,9 +22,11 @@
 class voter final : public control::proposer
 {
 public:
-    // Opens the voter on its files. Fails with StorageFailed.
-    static result<std::unique_ptr<voter>> open(const settings &values, timer_service &clock,
-                                               consensus::storage &files,
+    // Opens the voter on its files, with the first membership of the group. Fails with
+    // StorageFailed.
+    static result<std::unique_ptr<voter>> open(const settings &values,
+                                               const std::vector<std::uint32_t> &firstVoters,
+                                               timer_service &clock, consensus::storage &files,
                                                consensus::transport &network);
 
     ~voter() override;
--- a/packages/apps/src/control_program.cc
+++ b/packages/apps/src/control_program.cc
@@ -1,6 +1,7 @@
 #include "apps/control_program.h"
 
 #include "apps/control_metrics.h"
+#include "apps/data_folder.h"
 #include "apps/operator_api.h"
 #include "apps/peer_transport.h"
 #include "apps/rpc_server.h"
@@ -45,6 +46,12 @@
 
     status open(const settings &values)
     {
+        std::vector<std::uint32_t> configured;
+        for (const auto &item : values.voters)
+            configured.push_back(item.id);
+        const auto first = firstVoters(values.dataFolder, configured);
+        if (failed(first))
+            return errorOf(first);
         auto files
                 = consensus::openFileStorage(values.dataFolder, [this](std::function<void()> work) {
                       loop_.post(std::move(work));
@@ -54,7 +61,7 @@
         storage_ = std::make_unique<watched_storage>(
                 std::move(valueOf(files)),
                 [this](const error &reason) { onStorageFailure_(reason); });
-        auto opened = voter::open(values, loop_.timers(), *storage_, transport_);
+        auto opened = voter::open(values, valueOf(first), loop_.timers(), *storage_, transport_);
         if (failed(opened))
             return errorOf(opened);
         voter_ = std::move(valueOf(opened));
--- a/packages/apps/src/ctl_commands.cc
+++ b/packages/apps/src/ctl_commands.cc
@@ -17,6 +17,7 @@
 constexpr milliseconds rolloutPoll {100};
 constexpr milliseconds watchPeriod {1000};
 constexpr milliseconds voterTimeout {1000};
+constexpr milliseconds voterChangeTimeout {5000};
 
 class command_run
 {
@@ -51,8 +52,7 @@
 
     int get()
     {
-        const auto answer = ask(
-                {"GET", arguments_.json ? "/v1/tables?format=json" : "/v1/tables", {}, {}, true});
+        const auto answer = ask({"GET", arguments_.json ? "/v1/tables?format=json" : "/v1/tables"});
         if (failed(answer))
             return fail(errorOf(answer));
         if (!arguments_.json)
@@ -75,7 +75,7 @@
 
     int drain()
     {
-        const operator_call call {"POST", "/v1/drain/" + arguments_.words[0], {}, {}, true};
+        const operator_call call {"POST", "/v1/drain/" + arguments_.words[0]};
         const auto answer = ask(call);
         if (failed(answer))
             return fail(errorOf(answer));
@@ -86,11 +86,13 @@
         return 0;
     }
 
+    // Adding takes as long as the new voter needs to catch up; the leader gives up after ten
+    // election time-outs.
     int voters()
     {
         const auto body
                 = R"({"action":")" + arguments_.words[0] + R"(","id":)" + arguments_.words[1] + "}";
-        const auto answer = ask({"POST", "/v1/voters", {}, body, false});
+        const auto answer = ask({"POST", "/v1/voters", {}, body, voterChangeTimeout, true});
         if (failed(answer))
             return fail(errorOf(answer));
         if (arguments_.json)
@@ -106,7 +108,7 @@
         std::string last;
         for (std::uint32_t round = 1;; ++round) {
             started_ = steady_clock::now();
-            const auto answer = ask({"GET", "/v1/status", {}, {}, true});
+            const auto answer = ask({"GET", "/v1/status"});
             const auto line = watchLine(answer);
             if (line != last)
                 output_ << line << std::flush;
@@ -148,7 +150,7 @@
 
     int show(const std::string &path, result<std::string> (*toText)(const std::string &))
     {
-        const auto answer = ask({"GET", path, {}, {}, true});
+        const auto answer = ask({"GET", path});
         if (failed(answer))
             return fail(errorOf(answer));
         if (arguments_.json) {
@@ -166,7 +168,7 @@
     {
         std::vector<voter_row> rows;
         for (const auto &address : arguments_.control) {
-            const auto answer = client_.ask(address, {"GET", "/v1/voter", {}, {}, true},
+            const auto answer = client_.ask(address, {"GET", "/v1/voter"},
                                             std::min(voterTimeout, timeLeft()));
             if (failed(answer))
                 rows.push_back({address, {}, errorOf(answer).detail});
@@ -191,7 +193,7 @@
     {
         if (arguments_.expectedVersion)
             return *arguments_.expectedVersion;
-        const auto current = ask({"GET", "/v1/tables", {}, {}, true});
+        const auto current = ask({"GET", "/v1/tables"});
         if (failed(current))
             return errorOf(current);
         return parseNumber(valueOf(current).version, 0, UINT64_MAX);
@@ -215,8 +217,7 @@
         const operator_call call {"PUT",
                                   arguments_.dryRun ? "/v1/tables?dry_run=1" : "/v1/tables",
                                   {{"If-Match", std::to_string(version)}, {"Change-Id", id}},
-                                  text,
-                                  true};
+                                  text};
         const auto answer = ask(call);
         if (failed(answer)) {
             const auto code = fail(errorOf(answer));
@@ -265,7 +266,7 @@
     result<rollout_view> waitForRollout(std::uint64_t version)
     {
         while (true) {
-            const auto answer = ask({"GET", "/v1/status", {}, {}, true});
+            const auto answer = ask({"GET", "/v1/status"});
             if (failed(answer))
                 return errorOf(answer);
             auto shown = readRollout(valueOf(answer).body, version);
--- /dev/null
+++ b/packages/apps/src/data_folder.cc
@@ -0,0 +1,90 @@
+#include "apps/data_folder.h"
+
+#include "apps/settings_check.h"
+#include "base/ini.h"
+
+#include <cerrno>
+#include <filesystem>
+#include <sstream>
+#include <system_error>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace persimmon::apps {
+
+namespace {
+
+error storageError(const std::string &what, int code)
+{
+    return {result_code::StorageFailed, what + ": " + std::system_category().message(code), {}, {}};
+}
+
+// Opens a path, writes the text unless it is empty, syncs and closes.
+status writeAndSync(const std::string &path, int flags, const std::string &text)
+{
+    const int file = ::open(path.c_str(), flags | O_CLOEXEC, 0600);
+    if (file < 0)
+        return storageError("can't open " + path, errno);
+    const auto written = text.empty() ? 0 : ::write(file, text.data(), text.size());
+    int failure = 0;
+    if (written != static_cast<ssize_t>(text.size()))
+        failure = written < 0 ? errno : ENOSPC;
+    else if (::fsync(file) != 0)
+        failure = errno;
+    ::close(file);
+    if (failure != 0)
+        return storageError("can't write " + path, failure);
+    return std::monostate {};
+}
+
+status store(const std::string &folder, const std::string &path, const std::string &text)
+{
+    const auto temporary = path + ".tmp";
+    if (auto written = writeAndSync(temporary, O_WRONLY | O_CREAT | O_TRUNC, text); failed(written))
+        return written;
+    if (::rename(temporary.c_str(), path.c_str()) != 0)
+        return storageError("can't rename " + temporary, errno);
+    return writeAndSync(folder, O_RDONLY | O_DIRECTORY, {});
+}
+
+result<std::vector<std::uint32_t>> parse(const std::string &path, const std::string &text)
+{
+    std::vector<std::uint32_t> voters;
+    std::istringstream words(text);
+    for (std::string word; words >> word;) {
+        const auto id = parseNumber(word, 1, 1000);
+        if (failed(id))
+            return error {result_code::CorruptFile, path + " is damaged", {}, {}};
+        voters.push_back(static_cast<std::uint32_t>(valueOf(id)));
+    }
+    if (voters.empty())
+        return error {result_code::CorruptFile, path + " is empty", {}, {}};
+    return voters;
+}
+
+} // namespace
+
+result<std::vector<std::uint32_t>> firstVoters(const std::string &folder,
+                                               const std::vector<std::uint32_t> &configured)
+{
+    std::error_code failure;
+    std::filesystem::create_directories(folder, failure);
+    if (failure)
+        return storageError("can't create " + folder, failure.value());
+    const auto path = folder + "/first-voters";
+    if (std::filesystem::exists(path, failure)) {
+        const auto text = readFile(path);
+        if (failed(text))
+            return errorOf(text);
+        return parse(path, valueOf(text));
+    }
+    std::string text;
+    for (const auto id : configured)
+        text += std::to_string(id) + "\n";
+    if (auto stored = store(folder, path, text); failed(stored))
+        return errorOf(stored);
+    return configured;
+}
+
+} // namespace persimmon::apps
--- a/packages/apps/src/operator_client.cc
+++ b/packages/apps/src/operator_client.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace persimmon::apps {
@@ -13,9 +14,6 @@
 
 using std::chrono::steady_clock;
 
-// A voter that accepts the connection and then stays silent delays a call by this time.
-constexpr milliseconds attemptTimeout {2000};
-
 constexpr milliseconds retryPause {50};
 
 // The library starts 40 threads by default.
@@ -70,20 +68,24 @@
     result<operator_answer> callLeader(const operator_call &call, milliseconds timeout) override
     {
         const auto deadline = steady_clock::now() + timeout;
+        std::optional<error> refusal;
         while (true) {
             const auto left
                     = std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
-            const auto limit = call.repeatable ? std::min(left, attemptTimeout) : left;
+            const auto limit = std::min(left, call.attemptTimeout);
             auto answer = ask(voters_[leader_], call, std::max(limit, milliseconds {1}));
             if (!failed(answer) && valueOf(answer).status < 400)
                 return answer;
             const auto reason = failed(answer) ? errorOf(answer) : readRefusal(valueOf(answer));
-            const bool moves = failed(answer) ? call.repeatable : goesToNextVoter(reason.code);
-            if (!moves)
-                return failed(answer) ? result<operator_answer>(reason) : answer;
-            moveOn(failed(answer) ? std::string {} : valueOf(answer).leader);
+            const bool busy = call.waitsForOthers && reason.code == result_code::InProgress;
+            if (!failed(answer) && !busy && !goesToNextVoter(reason.code))
+                return answer;
+            if (!failed(answer))
+                refusal = reason;
+            if (!busy)
+                moveOn(failed(answer) ? std::string {} : valueOf(answer).leader);
             if (steady_clock::now() + retryPause >= deadline)
-                return reason;
+                return refusal.value_or(reason);
             std::this_thread::sleep_for(retryPause);
         }
     }
--- a/packages/apps/src/voter.cc
+++ b/packages/apps/src/voter.cc
@@ -12,12 +12,12 @@
 constexpr milliseconds coordinatorPeriod {20};
 constexpr milliseconds handOverPoll {10};
 
-consensus::node_options nodeOptions(const settings &values)
+consensus::node_options nodeOptions(const settings &values,
+                                    const std::vector<std::uint32_t> &firstVoters)
 {
     consensus::node_options options;
     options.self = values.voterId;
-    for (const auto &item : values.voters)
-        options.voters.push_back(item.id);
+    options.voters = firstVoters;
     options.electionTimeout = values.electionTimeout;
     options.heartbeat = values.heartbeat;
     options.snapshotEntries = values.snapshotEntries;
@@ -59,12 +59,14 @@
 
 voter::~voter() = default;
 
-result<std::unique_ptr<voter>> voter::open(const settings &values, timer_service &clock,
-                                           consensus::storage &files, consensus::transport &network)
+result<std::unique_ptr<voter>> voter::open(const settings &values,
+                                           const std::vector<std::uint32_t> &firstVoters,
+                                           timer_service &clock, consensus::storage &files,
+                                           consensus::transport &network)
 {
     std::unique_ptr<voter> opened(new voter(values, clock));
-    auto member = consensus::node::open(nodeOptions(values), files, network, *opened->ledger_,
-                                        clock.now());
+    auto member = consensus::node::open(nodeOptions(values, firstVoters), files, network,
+                                        *opened->ledger_, clock.now());
     if (failed(member))
         return errorOf(member);
     opened->node_ = std::move(valueOf(member));
--- a/packages/apps/test/ctl-test.cc
+++ b/packages/apps/test/ctl-test.cc
@@ -173,6 +173,6 @@
 TEST(ctl, lostVotersGiveTheirExitCode)
 {
     const auto real = operator_client::create({"127.0.0.1:1", "127.0.0.1:2"});
-    const auto answer = real->callLeader({"GET", "/v1/status", {}, {}, true}, milliseconds {300});
+    const auto answer = real->callLeader({"GET", "/v1/status"}, milliseconds {300});
     CHECK_TRUE(errorOf(answer).code == result_code::RpcFailed);
 }
--- a/packages/apps/test/rpc-test.cc
+++ b/packages/apps/test/rpc-test.cc
@@ -43,7 +43,8 @@
         : loop(loop)
         , address(std::move(listenAddress))
     {
-        auto opened = voter::open(testSettings(voterCount), loop.timers(), files, network);
+        auto opened = voter::open(testSettings(voterCount), testVoters(voterCount), loop.timers(),
+                                  files, network);
         member = std::move(valueOf(opened));
         auto listening = rpc_server::listen(loop, address, *member, std::move(hooks));
         server = std::move(valueOf(listening));
--- a/packages/apps/test/storage-test.cc
+++ b/packages/apps/test/storage-test.cc
@@ -1,6 +1,11 @@
+#include "apps/data_folder.h"
 #include "apps/watched_storage.h"
 #include "test-voter.h"
 
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace persimmon;
@@ -23,3 +28,38 @@
     inner.pump();
     CHECK_TRUE(order == (std::vector<std::string> {"good", "bad", "no space"}));
 }
+
+TEST_GROUP(first_voters)
+{
+    void setup() override
+    {
+        auto pattern = (std::filesystem::temp_directory_path() / "apps-test-XXXXXX").string();
+        folder = ::mkdtemp(pattern.data());
+    }
+
+    void teardown() override
+    {
+        std::filesystem::remove_all(folder);
+    }
+
+    std::string folder;
+};
+
+// Guards against a quorum that changes because a voter was added to the settings: three voters that
+// restart with a list of five would need a third vote.
+TEST(first_voters, laterSettingsDoNotChangeThem)
+{
+    const std::vector<std::uint32_t> first {1, 2, 3};
+    CHECK_TRUE(valueOf(firstVoters(folder + "/data", first)) == first);
+    CHECK_TRUE(valueOf(firstVoters(folder + "/data", {1, 2, 3, 4, 5})) == first);
+}
+
+// Guards against a damaged file that is taken for another membership.
+TEST(first_voters, damagedFileIsRefused)
+{
+    for (const auto *text : {"", "1\nx\n"}) {
+        std::ofstream(folder + "/first-voters") << text;
+        const auto voters = firstVoters(folder, {1});
+        CHECK_TRUE(failed(voters) && errorOf(voters).code == result_code::CorruptFile);
+    }
+}
--- a/packages/apps/test/test-voter.h
+++ b/packages/apps/test/test-voter.h
@@ -52,13 +52,22 @@
     return values;
 }
 
+inline std::vector<std::uint32_t> testVoters(std::uint32_t count)
+{
+    std::vector<std::uint32_t> ids;
+    for (std::uint32_t id = 1; id <= count; ++id)
+        ids.push_back(id);
+    return ids;
+}
+
 // Voter 1 of a group, with time driven by the test. Alone it becomes leader; of more voters it
 // never finds another one.
 struct test_voter
 {
     explicit test_voter(std::uint32_t voterCount)
     {
-        auto opened = voter::open(testSettings(voterCount), clock, files, network);
+        auto opened = voter::open(testSettings(voterCount), testVoters(voterCount), clock, files,
+                                  network);
         member = std::move(valueOf(opened));
     }
 
