Start the HTTP library's threads through the http package

Cause: a process that has a listener and a client would start them twice, which the library refuses.

Change: operator_client calls http::startThreads().

--- a/packages/apps/src/operator_client.cc
+++ b/packages/apps/src/operator_client.cc
@@ -1,10 +1,10 @@
 #include "apps/operator_client.h"
 
+#include "http/server.h"
+
 #include <cpprest/http_client.h>
-#include <pplx/threadpool.h>
 
 #include <algorithm>
-#include <mutex>
 #include <optional>
 #include <thread>
 
@@ -37,8 +37,7 @@
     explicit rest_client(std::vector<std::string> voters)
         : voters_(std::move(voters))
     {
-        static std::once_flag once;
-        std::call_once(once, [] { crossplat::threadpool::initialize_with_threads(threadCount); });
+        http::startThreads(threadCount);
     }
 
     result<operator_answer> ask(const std::string &address, const operator_call &call,
