--- a/packages/apps/src/control_program.cc
+++ b/packages/apps/src/control_program.cc
@@ -24,8 +24,13 @@
 
 http::server_options httpOptions(const settings &values)
 {
-    return {values.httpListen, values.httpThreads, values.maxHeaderBytes, values.maxBodyBytes,
-            values.httpTimeout};
+    http::server_options options;
+    options.address = values.httpListen;
+    options.threads = values.httpThreads;
+    options.maxHeaderBytes = values.maxHeaderBytes;
+    options.maxBodyBytes = values.maxBodyBytes;
+    options.timeout = values.httpTimeout;
+    return options;
 }
 
 class program final : public control_program
