--- a/packages/consensus/src/core-leader.cc
+++ b/packages/consensus/src/core-leader.cc
@@ -175,7 +175,9 @@
     auto &from = peers_.at(input.from);
     if (!from.snapshot || from.snapshot->index != input.index)
         return;
-    if (input.offset <= from.offset || input.offset > from.snapshot->state.size())
+    // Only the answer to the newest chunk counts. It may also be lower than what was sent: a peer
+    // that restarted lost the chunks it had received.
+    if (input.stamp != stampOf(from.sent) || input.offset > from.snapshot->state.size())
         return;
     from.offset = input.offset;
     if (from.offset < from.snapshot->state.size())
--- a/packages/consensus/src/node.cc
+++ b/packages/consensus/src/node.cc
@@ -150,6 +150,9 @@
             changeDone_ = std::move(next.done);
         else if (todo.proposed != 0)
             pending_[todo.proposed] = {now_ + 5 * options_.electionTimeout, std::move(next.done)};
+        if (todo.restore)
+            log_->info("node {} installed a snapshot at entry {}", options_.self,
+                       todo.restore->index);
         if (todo.lostLeadership)
             failPending();
         if (todo.change && changeDone_)
@@ -196,6 +199,7 @@
 
     void finishChange(result_code code)
     {
+        log_->info("a membership change ended with {}", describe(code).name);
         const auto done = std::move(changeDone_);
         changeDone_ = {};
         if (code == result_code::Ok)
--- a/packages/consensus/test/core-test.cc
+++ b/packages/consensus/test/core-test.cc
@@ -75,9 +75,9 @@
     return now;
 }
 
-message acknowledgement(log_index index, time_point sent)
+message acknowledgement(log_index index, time_point sent, voter_id id = 2)
 {
-    auto value = from(2, message_kind::AppendReply, 3);
+    auto value = from(id, message_kind::AppendReply, 3);
     value.granted = true;
     value.index = index;
     value.stamp = static_cast<std::uint64_t>(sent.time_since_epoch().count());
@@ -169,6 +169,41 @@
     LONGS_EQUAL(3, sent.front().index);
 }
 
+// Guards against: a transfer to a voter that is down, which costs an election time-out.
+TEST(core, transfersOnlyToAVoterThatAnswers)
+{
+    auto node = makeCore();
+    const auto now = makeLeader(node);
+    step(node, now, message_event {acknowledgement(3, now)});
+    const auto later = now + milliseconds(290);
+    step(node, later, message_event {acknowledgement(2, later, 3)});
+    const auto end = later + milliseconds(50);
+    CHECK_TRUE(step(node, end, transfer_event {}).empty());
+    const auto sent = step(node, end, message_event {acknowledgement(3, end, 3)});
+    CHECK(!sent.empty() && sent.back().kind == message_kind::TimeoutNow && sent.back().to == 3);
+}
+
+// Guards against: a snapshot put together from chunks of two leaders.
+TEST(core, doesNotMixChunksOfTwoLeaders)
+{
+    auto node = makeCore();
+    auto chunk = from(2, message_kind::Snapshot, 3);
+    chunk.index = 9;
+    chunk.logTerm = 2;
+    chunk.voters = {1, 2, 3};
+    chunk.total = 2;
+    chunk.data.resize(1);
+    step(node, start, message_event {chunk});
+    chunk.from = 3;
+    chunk.term = 4;
+    chunk.offset = 1;
+    step(node, start, message_event {chunk});
+    LONGS_EQUAL(0, node.currentStatus().snapshotIndex);
+    for (chunk.offset = 0; chunk.offset < 2; ++chunk.offset)
+        step(node, start, message_event {chunk});
+    LONGS_EQUAL(9, node.currentStatus().snapshotIndex);
+}
+
 // Guards against: a log of large commands that fills the memory before it has many entries.
 TEST(core, asksForASnapshotOfALargeLog)
 {
--- a/packages/consensus/test/node-test.cc
+++ b/packages/consensus/test/node-test.cc
@@ -224,11 +224,20 @@
         burst(group, 50);
     CHECK(group.state(leader).lastIndex - group.state(leader).snapshotIndex <= 100);
     CHECK(group.disk(leader).image.entries.size() <= 100);
+    // A restart during the transfer, and one after it but before the sync, start it again.
+    group.start(missing);
+    group.advance(milliseconds(65));
+    group.crash(missing);
+    group.start(missing);
+    group.disk(missing).syncTime = milliseconds(300);
+    const auto installed = [&] { return group.state(missing).snapshotIndex > 400; };
+    group.await(installed, milliseconds(5000), "the snapshot after a restart");
+    group.crash(missing);
+    group.disk(missing).syncTime = milliseconds(1);
     group.dropPercent = 10;
     group.duplicatePercent = 10;
     group.start(missing);
-    group.await([&] { return group.state(missing).snapshotIndex > 400; }, milliseconds(5000),
-                "the snapshot");
+    group.await(installed, milliseconds(5000), "the snapshot after an unsynced one");
     group.dropPercent = 0;
     group.settle();
     // The installed snapshot must also carry the node over its next restart.
