Choose reserved workers by expected end and bound the wait of large gangs

A reservation took any block that preemptible jobs used. It then waited for the longest of them, owners' jobs started on it, and two such reservations kept workers idle.

Failures on a worker now count after the job has ended, unless it ended as CannotRun.

--- a/packages/placement/src/core.cc
+++ b/packages/placement/src/core.cc
@@ -164,7 +164,6 @@
         estimator_.observe(entry.workspace, entry.priority, entry.accelerators(),
                            std::chrono::duration_cast<milliseconds>(now_ - entry.started));
         recordSuccess(entry);
-        forgetFailures(job);
         giveBack(job);
         state_.removeJob(job);
         return;
--- a/packages/placement/src/core.h
+++ b/packages/placement/src/core.h
@@ -15,6 +15,10 @@
 constexpr std::uint32_t maxReports = 32;
 // Reservations of one pool at a time. More would idle too many workers.
 constexpr std::size_t maxReservations = 2;
+// Reservation delays after which a reserved gang preempts what still runs on its workers.
+constexpr std::int64_t overdueDelays = 10;
+// Pause after a failed attempt to make a reservation, which visits all workers of the pool.
+constexpr milliseconds reservationPause {10000};
 // A job that fits in one worker gets a reservation after this many reservation delays.
 constexpr std::int64_t smallJobDelays = 4;
 // Time without a new worker after which jobs that waited without workers are judged.
@@ -132,6 +136,8 @@
     void dropReservationsOf(index_t job);
     index_t nextForReservation(index_t pool) const;
     bool reserve(index_t pool, index_t job);
+    bool findEarliest(index_t job, bool borrowing, std::vector<index_t> &found) const;
+    time_point expectedIdle(index_t worker) const;
     time_point expectedReady(const reservation &held) const;
     void startReserved(index_t pool);
     bool reservedFree(const reservation &held) const;
--- a/packages/placement/src/jobs.cc
+++ b/packages/placement/src/jobs.cc
@@ -119,7 +119,9 @@
     } else if (!entry.places.empty()) {
         giveBack(job);
     }
-    forgetFailures(job);
+    if (code == result_code::CannotRun) {
+        forgetFailures(job);
+    }
     state_.removeJob(job);
 }
 
--- a/packages/placement/src/quarantine.cc
+++ b/packages/placement/src/quarantine.cc
@@ -76,7 +76,7 @@
     makeUnhealthy(worker);
 }
 
-// A job that is over counts no longer against the workers on which it failed.
+// A job that can't run counts no longer against the workers on which it failed.
 void core::forgetFailures(index_t job)
 {
     for (const auto worker : state_.jobs[job].failedOn) {
--- a/packages/placement/src/records.h
+++ b/packages/placement/src/records.h
@@ -102,6 +102,7 @@
     index_t job = noIndex;
     std::vector<index_t> workers; // one for each task
     time_point ready {}; // expected end of the jobs that run there
+    time_point made {};
 };
 
 struct pool_entry
@@ -119,6 +120,7 @@
     bool bindNeeded = false;
     bool dispatchNeeded = false;
     bool judgeNeeded = false; // jobs that waited without workers have to be judged
+    time_point reserveAfter {}; // earliest next attempt to set workers aside
     time_point grown {}; // last time a new worker joined
     std::vector<reservation> reservations;
     // Workers whose free room grew most recently; a kind of job that did not fit can fit again only
--- a/packages/placement/src/reservations.cc
+++ b/packages/placement/src/reservations.cc
@@ -78,41 +78,77 @@
             : search(entry.arrivals, smallJobDelays * std::max<std::int64_t>(delay, 1));
 }
 
-// Sets workers aside, where possible those that only preemptible jobs use.
-bool core::reserve(index_t pool, index_t job)
+// Expected end of the last job on a worker that is neither backfill nor an owner's.
+time_point core::expectedIdle(index_t worker) const
 {
-    auto &entry = state_.pools[pool];
-    const auto &gang = state_.jobs[job];
-    const request need {gang.task, gang.tasks};
-    std::vector<view> order {view::Reclaim, view::Healthy};
-    if (!gang.repeatable) {
-        order = {view::Bindable};
-    }
-    for (const auto kind : order) {
-        if (!entry.at(kind).find(*entry.order, need, found_)) {
+    auto idle = now_;
+    for (const auto number : state_.workers[worker].jobs) {
+        const auto &job = state_.jobs[number];
+        if (job.backfill || job.kind == hold::Owned) {
             continue;
         }
-        reservation held {job, {}, {}};
-        for (const auto local : found_) {
-            held.workers.push_back(entry.workers[local]);
+        const auto expected = estimator_.expected(job.workspace, job.priority, job.accelerators(),
+                                                  job.declaredSeconds);
+        const auto end = job.started + expected;
+        // A job past its expected end is taken to run for another quarter of that time.
+        idle = std::max<time_point>(idle, end > now_ ? end : now_ + expected / 4);
+    }
+    return idle;
+}
+
+// Finds the workers on which the gang is expected to start first. Visits all workers of the pool,
+// but only when a reservation is made.
+// `borrowing` includes cells of guarantees that no owner uses now; owners may take them back.
+bool core::findEarliest(index_t job, bool borrowing, std::vector<index_t> &found) const
+{
+    const auto &gang = state_.jobs[job];
+    const auto &pool = state_.pools[gang.pool];
+    std::vector<std::pair<time_point, index_t>> byTime;
+    for (const auto worker : pool.workers) {
+        const auto &entry = state_.workers[worker];
+        if (entry.healthy() && entry.reservedFor == noIndex && fits(gang.task, entry.capacity)) {
+            byTime.emplace_back(expectedIdle(worker), worker);
         }
-        const auto isTaken
-                = [&](index_t worker) { return state_.workers[worker].reservedFor != noIndex; };
-        if (std::ranges::any_of(held.workers, isTaken)) {
-            continue;
+    }
+    std::ranges::sort(byTime);
+    capacity_index index(pool.places);
+    const request need {gang.task, gang.tasks};
+    auto horizon = std::chrono::seconds(30);
+    for (std::size_t next = 0; next < byTime.size(); horizon *= 2) {
+        const auto known = next;
+        for (; next < byTime.size() && byTime[next].first <= now_ + horizon; ++next) {
+            const auto &entry = state_.workers[byTime[next].second];
+            index.set(entry.local, entry.capacity - (borrowing ? entry.owned : entry.bound));
         }
-        for (const auto worker : held.workers) {
-            state_.workers[worker].reservedFor = job;
-            state_.refresh(worker);
+        if (next > known && index.find(*pool.order, need, found)) {
+            return true;
         }
-        held.ready = expectedReady(held);
-        entry.reservations.push_back(std::move(held));
-        entry.dispatchNeeded = true;
-        return true;
     }
     return false;
 }
 
+// Sets workers aside for a gang.
+bool core::reserve(index_t pool, index_t job)
+{
+    auto &entry = state_.pools[pool];
+    if (!findEarliest(job, false, found_)
+        && !(state_.jobs[job].repeatable && findEarliest(job, true, found_))) {
+        return false;
+    }
+    reservation held {job, {}, {}, now_};
+    for (const auto local : found_) {
+        held.workers.push_back(entry.workers[local]);
+    }
+    for (const auto worker : held.workers) {
+        state_.workers[worker].reservedFor = job;
+        state_.refresh(worker);
+    }
+    held.ready = expectedReady(held);
+    entry.reservations.push_back(std::move(held));
+    entry.dispatchNeeded = true;
+    return true;
+}
+
 void core::updateReservations(index_t pool)
 {
     auto &entry = state_.pools[pool];
@@ -124,10 +160,10 @@
             dropReservation(pool, position);
         }
     }
-    while (entry.reservations.size() < maxReservations) {
+    if (entry.reservations.size() < maxReservations && now_ >= entry.reserveAfter) {
         const auto job = nextForReservation(pool);
-        if (job == noIndex || !reserve(pool, job)) {
-            break;
+        if (job != noIndex && !reserve(pool, job)) {
+            entry.reserveAfter = now_ + reservationPause;
         }
     }
     for (auto &held : entry.reservations) {
@@ -137,22 +173,11 @@
     entry.dispatchNeeded = entry.dispatchNeeded || !entry.reservations.empty();
 }
 
-// Expected end of the last job on the reserved workers, backfill excluded.
 time_point core::expectedReady(const reservation &held) const
 {
     auto ready = now_;
     for (const auto worker : held.workers) {
-        for (const auto number : state_.workers[worker].jobs) {
-            const auto &job = state_.jobs[number];
-            if (job.backfill) {
-                continue;
-            }
-            const milliseconds expected = estimator_.expected(
-                    job.workspace, job.priority, job.accelerators(), job.declaredSeconds);
-            const auto end = job.started + expected;
-            // A job past its expected end is taken to run for another quarter of that time.
-            ready = std::max<time_point>(ready, end > now_ ? end : now_ + expected / 4);
-        }
+        ready = std::max(ready, expectedIdle(worker));
     }
     return ready;
 }
@@ -198,10 +223,13 @@
 }
 
 // Once only backfill keeps a reserved gang from starting, the backfill is preempted: an estimate
-// that was too low must not delay the gang.
+// that was too low must not delay the gang. After overdueDelays the same holds for all preemptible
+// jobs up to the gang's class, so that the wait of a gang is bounded.
 void core::stopBackfill(const reservation &held)
 {
     const auto &gang = state_.jobs[held.job];
+    const auto limit = milliseconds(overdueDelays * std::max<std::int64_t>(reservationDelay(), 1));
+    const auto overdue = now_ - held.made >= limit;
     std::vector<index_t> victims;
     for (const auto worker : held.workers) {
         const auto &entry = state_.workers[worker];
@@ -209,7 +237,8 @@
         for (const auto number : entry.jobs) {
             const auto &job = state_.jobs[number];
             const auto count = std::ranges::count(job.places, worker, &task_place::worker);
-            if (job.backfill) {
+            const auto soft = job.kind == hold::Soft && job.priority <= gang.priority;
+            if (job.backfill || job.state == phase::Stopping || (overdue && soft)) {
                 room += job.task * std::int32_t(count);
                 victims.push_back(number);
             }
