Serve claims on a worker in order and separate urgent claims in the bench

A claim waited until its workers held all later claims as well, so that it could wait for jobs preempted after its own deadline. Claims are now ready in the order in which they were made. The bench counts guaranteed starts and urgent claims outside of a guarantee apart.

--- a/packages/placement/bench/replay.h
+++ b/packages/placement/bench/replay.h
@@ -22,6 +22,8 @@
     double utilization = 0; // mean share of used accelerators until the last arrival
     std::uint64_t guaranteeWaits = 0; // waits of guaranteed jobs over the deadline
     std::uint64_t guaranteeStarts = 0;
+    std::uint64_t urgentClaims = 0; // of urgent jobs outside their guarantee
+    std::uint64_t lateUrgentClaims = 0; // that took more than 5.5 s
     double longestLargeWait = 0; // seconds
     std::uint64_t preemptions = 0;
     double lostHours = 0; // accelerator hours of preempted attempts
--- a/packages/placement/src/claims.cc
+++ b/packages/placement/src/claims.cc
@@ -103,6 +103,7 @@
     --state_.workspaces[entry.workspace].waiting;
     state_.allot(job, kind, std::move(places));
     entry.state = phase::Claiming;
+    entry.claim = ++claims_;
     if (!entry.repeatable) {
         state_.pools[entry.pool].fixedClaims.push_back(job);
     }
@@ -193,23 +194,38 @@
             preempt_job {job.id, job.attempt, state_.jobs[forJob].id, options_.checkpointDeadline});
 }
 
+// Whether a worker holds a claim beside running jobs and earlier claims. Later ones don't count:
+// the claim would otherwise wait for their preempted jobs, beyond its own deadline.
+bool core::claimReady(index_t number, index_t worker) const
+{
+    const auto &entry = state_.workers[worker];
+    auto room = entry.free();
+    for (const auto other : entry.jobs) {
+        const auto &job = state_.jobs[other];
+        if (job.state == phase::Claiming && job.claim > state_.jobs[number].claim) {
+            room += job.task
+                    * std::int32_t(std::ranges::count(job.places, worker, &task_place::worker));
+        }
+    }
+    return entry.healthy() && !room.isNegative();
+}
+
 // Starts the claims on a worker for which the last preempted job has stopped.
 void core::completeClaims(index_t worker)
 {
-    std::vector<std::pair<job_id, index_t>> ready;
+    std::vector<std::pair<std::uint64_t, index_t>> ready;
     for (const auto number : state_.workers[worker].jobs) {
         const auto &job = state_.jobs[number];
-        const auto isFree = [&](const task_place &place) {
-            const auto &worker = state_.workers[place.worker];
-            return worker.healthy() && !worker.free().isNegative();
-        };
+        const auto isFree
+                = [&](const task_place &place) { return claimReady(number, place.worker); };
         if (job.state == phase::Claiming && std::ranges::all_of(job.places, isFree)) {
-            ready.emplace_back(job.id, number);
+            ready.emplace_back(job.claim, number);
         }
     }
     std::ranges::sort(ready);
-    for (const auto &[id, job] : ready) {
-        start(job, "after preemption");
+    for (const auto &[rank, job] : ready) {
+        const auto owned = state_.jobs[job].kind == hold::Owned;
+        start(job, owned ? "own guarantee after a reclaim" : "after preemption");
     }
 }
 
--- a/packages/placement/src/core.h
+++ b/packages/placement/src/core.h
@@ -109,6 +109,7 @@
     index_t chooseVictim(index_t worker, bool urgentToo) const;
     void preempt(index_t job, index_t forJob);
     void completeClaims(index_t worker);
+    bool claimReady(index_t job, index_t worker) const;
 
     // Guarantees (guarantees.cc)
     void applyGuarantees(const tables_changed &input);
@@ -162,6 +163,7 @@
     time_point now_ {};
     std::vector<action> actions_;
     std::uint32_t searches_ = 0; // left in this step
+    std::uint64_t claims_ = 0; // made so far
     amount reservedRoom_; // of the pool in the current pass
     time_point reservedUntil_ {};
     std::deque<index_t> unreported_; // groups whose members have not all been told the reason
--- a/packages/placement/src/records.h
+++ b/packages/placement/src/records.h
@@ -53,6 +53,7 @@
     wait_reason reason = wait_reason::None;
     time_point queued {};
     time_point started {};
+    std::uint64_t claim = 0; // rank of its claim; earlier claims get their room first
     std::vector<task_place> places;
     std::vector<index_t> failedOn; // distinct healthy workers
 
