Skip workspaces without a candidate in a pass; fuzz late reports

The fuzz now sends late reports of older attempts and checks that a claim has a preempted job: planting a claim without preemption had passed unseen by it.

--- a/packages/placement/src/dispatch.cc
+++ b/packages/placement/src/dispatch.cc
@@ -74,15 +74,15 @@
 {
     std::vector<candidate> order;
     for (const auto &[workspace, groups] : queue_.groupsOf(pool)) {
-        const auto share = shareOf(workspace);
-        const auto isUrgent
-                = [&](index_t id) { return queue_.group(id).priority == priority_class::Urgent; };
-        const auto urgent = std::ranges::count_if(groups, isUrgent);
-        if (urgent > 0) {
-            order.push_back({true, share, workspace});
+        std::array<bool, 2> open {}; // by urgency: some group is worth a closer look
+        for (const auto id : groups) {
+            const auto urgent = queue_.group(id).priority == priority_class::Urgent;
+            open[urgent] = open[urgent] || !passOver(id);
         }
-        if (urgent < std::ssize(groups)) {
-            order.push_back({false, share, workspace});
+        for (const auto urgent : {true, false}) {
+            if (open[urgent]) {
+                order.push_back({urgent, shareOf(workspace), workspace});
+            }
         }
     }
     const auto later = [](const candidate &left, const candidate &right) {
--- a/packages/placement/test/driver.h
+++ b/packages/placement/test/driver.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include <CppUTest/TestHarness.h>
+
 namespace persimmon::placement::test {
 
 // Feeds a scheduler with events and keeps what it answered.
@@ -98,6 +100,18 @@
         return nullptr;
     }
 
+    // Like find, but fails the test when there is none.
+    template <typename Type>
+    const Type &get() const
+    {
+        static const Type none;
+        const auto *match = find<Type>();
+        if (match == nullptr) {
+            FAIL("the expected action is missing");
+        }
+        return match == nullptr ? none : *match;
+    }
+
     template <typename Type>
     std::size_t count() const
     {
--- a/packages/placement/test/fuzz-test.cc
+++ b/packages/placement/test/fuzz-test.cc
@@ -153,12 +153,16 @@
         world.wait(milliseconds(item.first % 9000));
     } else if (item.kind == 18 && world.workers.contains(workerName(item.first))) {
         world.send(worker_leaving {workerName(item.first)});
+    } else if (item.kind == 19 && running != 0) {
+        // A late report of the attempt before.
+        const auto attempt = world.jobs[running].attempt - 1;
+        world.send(attempt_ended {job_id {running}, attempt, attempt_end::Completed, ""});
     }
 }
 
 rc::Gen<command> anyCommand()
 {
-    return rc::gen::build<command>(rc::gen::set(&command::kind, rc::gen::inRange(0, 19)),
+    return rc::gen::build<command>(rc::gen::set(&command::kind, rc::gen::inRange(0, 20)),
                                    rc::gen::set(&command::first, rc::gen::inRange(0U, 1000U)),
                                    rc::gen::set(&command::second, rc::gen::inRange(0U, 1000U)));
 }
--- a/packages/placement/test/gang-test.cc
+++ b/packages/placement/test/gang-test.cc
@@ -45,12 +45,12 @@
     run.addRacks(2, 8, "a", "r");
     run.addRacks(2, 8, "a", "s");
     run.submit(1, 24, 8);
-    CHECK_TRUE(run.find<end_job>()->code == result_code::ShapeImpossible);
+    CHECK_TRUE(run.get<end_job>().code == result_code::ShapeImpossible);
     run.submit(2, 16, 8);
     CHECK_EQUAL(2, racksOf(run.running[2]).size());
     run.submit(3, 8, 8);
     run.submit(4, 16, 8);
-    CHECK_TRUE(run.find<job_waits>()->reason == wait_reason::NoFreeBlock);
+    CHECK_TRUE(run.get<job_waits>().reason == wait_reason::NoFreeBlock);
 }
 
 // Guards against small jobs that split whole workers while a split one has room.
@@ -71,13 +71,13 @@
 {
     driver run;
     run.submit(1, 1, 16);
-    CHECK_TRUE(run.find<job_waits>()->reason == wait_reason::NoWorkers);
+    CHECK_TRUE(run.get<job_waits>().reason == wait_reason::NoWorkers);
     run.join("w1", {"r", "a", "1"});
     CHECK_TRUE(run.find<end_job>() == nullptr);
     run.wait(milliseconds(3000));
-    CHECK_TRUE(run.find<end_job>()->code == result_code::ShapeImpossible);
+    CHECK_TRUE(run.get<end_job>().code == result_code::ShapeImpossible);
     run.submit(2, 1, 16);
-    CHECK_TRUE(run.find<end_job>()->code == result_code::ShapeImpossible);
+    CHECK_TRUE(run.get<end_job>().code == result_code::ShapeImpossible);
 }
 
 // Guards against gangs in which only some tasks get workers.
--- a/packages/placement/test/oracle-test.cc
+++ b/packages/placement/test/oracle-test.cc
@@ -121,6 +121,9 @@
         jobs[toNumber(submitted->job)].spec = submitted->spec;
     } else if (const auto *ended = std::get_if<attempt_ended>(&input)) {
         auto &item = jobs[toNumber(ended->job)];
+        if (ended->attempt != item.attempt || item.workers.empty()) {
+            return; // late
+        }
         const auto done = ended->how == attempt_end::Completed;
         item.state = done ? progress::Ended : progress::Waiting;
         item.reason = wait_reason::None;
@@ -325,6 +328,9 @@
                 && entry.second.reason == wait_reason::PreemptionPending;
     };
     const auto claims = std::ranges::any_of(jobs, isClaim);
+    const auto isStopping
+            = [](const auto &entry) { return entry.second.state == progress::Stopping; };
+    expect(!claims || std::ranges::any_of(jobs, isStopping), "a claim without a preempted job");
     for (const auto &[id, item] : jobs) {
         if (item.state != progress::Waiting || item.reason == wait_reason::NoWorkers) {
             continue;
--- a/packages/placement/test/policy-test.cc
+++ b/packages/placement/test/policy-test.cc
@@ -50,7 +50,7 @@
     }
     run.submit(9, 8, 8, "owner");
     LONGS_EQUAL(8, run.count<preempt_job>());
-    CHECK_TRUE(run.find<preempt_job>()->deadline == milliseconds(2000));
+    CHECK_TRUE(run.get<preempt_job>().deadline == milliseconds(2000));
     stopPreempted(run);
     LONGS_EQUAL(8, run.running[9].workers.size());
     LONGS_EQUAL(64, usedBy(run, "owner"));
@@ -63,7 +63,7 @@
     run.addRacks(1);
     run.guarantees({{"owner", {rows(8, 8, 1)}}});
     run.submit(1, 1, 8, "other", false);
-    CHECK_TRUE(run.find<job_waits>()->reason == wait_reason::GuaranteeHeld);
+    CHECK_TRUE(run.get<job_waits>().reason == wait_reason::GuaranteeHeld);
 }
 
 // Guards against guarantees that stay bound to dead workers.
@@ -144,16 +144,16 @@
             run.end(job, attempt_end::Cancelled);
         }
     }
-    CHECK_TRUE(run.find<worker_quarantined>()->duration == milliseconds(60000));
+    CHECK_TRUE(run.get<worker_quarantined>().duration == milliseconds(60000));
     run.wait(milliseconds(59000));
     LONGS_EQUAL(1, run.running[3].attempt);
     run.wait(milliseconds(1000));
     LONGS_EQUAL(2, run.running[3].attempt); // the probe
     run.end(3, attempt_end::TaskFailed, "w1");
-    CHECK_TRUE(run.find<worker_quarantined>()->duration == milliseconds(120000));
+    CHECK_TRUE(run.get<worker_quarantined>().duration == milliseconds(120000));
     run.wait(milliseconds(120000));
     run.end(3);
-    STRCMP_EQUAL("w1", run.find<worker_readmitted>()->worker.c_str());
+    STRCMP_EQUAL("w1", run.get<worker_readmitted>().worker.c_str());
 }
 
 // Guards against a broken job that returns for ever.
@@ -165,7 +165,7 @@
     for (int attempt = 0; attempt < 3; ++attempt) {
         run.end(1, attempt_end::TaskFailed, run.running[1].workers[0]);
     }
-    CHECK_TRUE(run.find<end_job>()->code == result_code::CannotRun);
+    CHECK_TRUE(run.get<end_job>().code == result_code::CannotRun);
 }
 
 // Guards against a job over its quota that waits for ever.
@@ -178,10 +178,10 @@
     owner.quotaAccelerators = 8;
     run.send(tables_changed {{{.name = "gpu"}}, {owner}});
     run.submit(1, 2, 8);
-    CHECK_TRUE(run.find<end_job>()->code == result_code::QuotaExceeded);
+    CHECK_TRUE(run.get<end_job>().code == result_code::QuotaExceeded);
     run.submit(2, 1, 8);
     run.submit(3, 1, 8);
-    CHECK_TRUE(run.find<job_waits>()->reason == wait_reason::QuotaReached);
+    CHECK_TRUE(run.get<job_waits>().reason == wait_reason::QuotaReached);
 }
 
 // Guards against waves of cancellations that leave resources allotted or end a job twice.
