Look at stopping attempts in each tick and record waits during a rebuild

Cause: the end of a checkpoint deadline and of the last task lease was seen up to 500 ms late, and a job accepted before the view was rebuilt showed no reason.

Change: jobs that stop, or whose command got no reply, are looked at in the next tick; the full pass runs once a second. Allowed slot shares are kept until a share, an acknowledgement or the demand changes.

--- a/packages/control/src/job_actions.cc
+++ b/packages/control/src/job_actions.cc
@@ -77,12 +77,12 @@
 
 void jobs::take(const placement::job_waits &action)
 {
-    decision_record record;
-    record.kind = decision_kind::Waiting;
-    record.reason = action.reason;
-    record.other = action.behind;
-    record.detail = action.detail;
-    waits_[action.job] = std::move(record);
+    noteWait(action.job, action.reason, action.behind, action.detail);
+}
+
+void jobs::noteWait(job_id id, wait_reason reason, job_id behind, const std::string &detail)
+{
+    waits_[id] = {decision_kind::Waiting, {}, reason, result_code::Ok, behind, detail};
 }
 
 void jobs::take(const placement::worker_quarantined &action)
--- a/packages/control/src/jobs.cc
+++ b/packages/control/src/jobs.cc
@@ -11,7 +11,7 @@
 using placement::attempt_end;
 
 // Finds ledger changes whose reply was lost; those with a reply are handled at once.
-constexpr milliseconds reconcilePeriod {500};
+constexpr milliseconds reconcilePeriod {1000};
 
 std::uint32_t attemptOf(const job_entry &entry)
 {
@@ -35,6 +35,7 @@
     deferred_.clear();
     tracked_.clear();
     byWorker_.clear();
+    due_.clear();
     quarantined_.clear();
     waits_.clear();
     recordsProposed_ = false;
@@ -78,8 +79,12 @@
                   coordinator::completion<job_id> done)
 {
     const auto toId = [](const reply &answer) { return static_cast<job_id>(answer.value); };
-    shared_.commitFor<job_id>(submit_job {key, spec}, std::move(done), toId,
-                              [this, toId](const reply &answer) { track(toId(answer)); });
+    const auto effect = [this, toId](const reply &answer) {
+        if (!started_)
+            noteWait(toId(answer), wait_reason::RebuildingView, {}, {});
+        track(toId(answer));
+    };
+    shared_.commitFor<job_id>(submit_job {key, spec}, std::move(done), toId, effect);
 }
 
 void jobs::cancel(job_id id, coordinator::completion<std::monostate> done)
@@ -117,6 +122,7 @@
             step(ended);
         step(placement::clock_ticked {});
     }
+    advanceDue();
     if (shared_.now() >= nextReconcile_) {
         nextReconcile_ = shared_.now() + reconcilePeriod;
         reconcile();
@@ -126,6 +132,14 @@
     orders_.flush();
 }
 
+void jobs::advanceDue()
+{
+    const auto due = std::move(due_);
+    due_.clear();
+    for (const auto id : due)
+        advance(id);
+}
+
 void jobs::reconcile()
 {
     auto open = shared_.data().openJobs;
@@ -236,6 +250,9 @@
         progress.stopSeen = true;
         progress.stoppedAt = shared_.now();
     }
+    // Its deadlines pass without an event.
+    if (entry.state == job_state::Stopping)
+        due_.insert(entry.id);
     orders_.set(entry.id, desiredOrders(entry, progress, members_, shared_.now()));
 }
 
@@ -327,8 +344,10 @@
         if (found == tracked_.end())
             return;
         found->second.proposed = false;
-        // After a failure the next reconciliation proposes what is still needed.
-        if (!failed(outcome))
+        // After a failure the next tick proposes what is still needed.
+        if (failed(outcome))
+            due_.insert(id);
+        else
             advance(id);
         orders_.flush();
     });
--- a/packages/control/src/jobs.h
+++ b/packages/control/src/jobs.h
@@ -80,7 +80,9 @@
     bool checkGrant(tracked &job, job_id id);
     void propose(job_id id, tracked &job, const command_body &body);
     void concern(const std::string &worker);
+    void advanceDue();
     void reconcile();
+    void noteWait(job_id id, wait_reason reason, job_id behind, const std::string &detail);
     void commitRecords();
     void trim();
 
@@ -94,6 +96,7 @@
     std::vector<placement::attempt_ended> deferred_;
     std::map<job_id, tracked> tracked_;
     std::map<std::string, std::set<job_id>> byWorker_;
+    std::set<job_id> due_; // to look at in the next tick
     std::set<std::string> quarantined_;
     std::map<job_id, decision_record> waits_; // changes of the reason, not committed yet
     bool recordsProposed_ = false;
--- a/packages/control/src/slot_shares.cc
+++ b/packages/control/src/slot_shares.cc
@@ -55,6 +55,7 @@
     target.held = target.sent;
     std::erase_if(target.held, [](const auto &item) { return item.second == 0; });
     target.known = true;
+    forgetAllowed();
 }
 
 std::map<std::string, slot_shares::pool_members> slot_shares::servedPools() const
@@ -125,6 +126,7 @@
 
 void slot_shares::update()
 {
+    forgetAllowed();
     slots_.clear();
     for (auto &[id, target] : holders_)
         target.target.clear();
@@ -144,7 +146,26 @@
     return std::ranges::all_of(holders_, [](const auto &item) { return item.second.known; });
 }
 
-slot_shares::share_map slot_shares::allowed(const holder &target) const
+void slot_shares::forgetAllowed()
+{
+    for (auto &[id, target] : holders_)
+        target.allowed.reset();
+}
+
+void slot_shares::drop(const std::string &entryId)
+{
+    holders_.erase(entryId);
+    forgetAllowed();
+}
+
+const slot_shares::share_map &slot_shares::allowed(holder &target)
+{
+    if (!target.allowed)
+        target.allowed = computeAllowed(target);
+    return *target.allowed;
+}
+
+slot_shares::share_map slot_shares::computeAllowed(const holder &target) const
 {
     // Shares of upstreams that are gone are taken back by name, because an empty list changes none.
     share_map shares;
@@ -167,7 +188,7 @@
     return shares;
 }
 
-bool slot_shares::hasNews(const std::string &entryId) const
+bool slot_shares::hasNews(const std::string &entryId)
 {
     const auto found = holders_.find(entryId);
     if (found == holders_.end() || !shared_.earlierLeasesEnded())
@@ -181,9 +202,9 @@
     if (found == holders_.end() || !shared_.earlierLeasesEnded())
         return;
     auto &target = found->second;
-    auto shares = allowed(target);
+    const auto shares = allowed(target);
     if (shares != target.sent || target.sentSequence == 0) {
-        target.sent = std::move(shares);
+        target.sent = shares;
         target.sentSequence = view_.bump();
     }
     for (const auto &[upstream, slots] : target.sent) {
@@ -191,6 +212,7 @@
         held = std::max(held, slots);
         response.shares.push_back({upstream, slots});
     }
+    forgetAllowed();
 }
 
 } // namespace persimmon::control
--- a/packages/control/src/slot_shares.h
+++ b/packages/control/src/slot_shares.h
@@ -6,6 +6,7 @@
 #include "view.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,13 +32,13 @@
     void hear(const sync_request &request);
 
     // Forgets an entry whose lease has ended.
-    void drop(const std::string &entryId) { holders_.erase(entryId); }
+    void drop(const std::string &entryId);
 
     // Computes the shares by the demand of the entries and the upstreams present.
     void update();
 
     // True when the entry must be sent other shares than it was sent last.
-    bool hasNews(const std::string &entryId) const;
+    bool hasNews(const std::string &entryId);
 
     // Adds the entry's shares to an answer; call before the view is added.
     void fill(sync_response &response, const std::string &entryId);
@@ -52,6 +53,7 @@
         share_map held; // the most that it may be using
         share_map sent; // last answer
         share_map target; // by demand
+        std::optional<share_map> allowed; // of the target; empty after a change
         std::uint64_t sentSequence = 0; // view sequence of the last change of sent
     };
 
@@ -66,7 +68,9 @@
                          std::uint32_t slots) const;
     void share(const std::string &upstream, const std::string &pool, std::size_t upstreams,
                std::uint32_t slots);
-    share_map allowed(const holder &target) const;
+    const share_map &allowed(holder &target);
+    share_map computeAllowed(const holder &target) const;
+    void forgetAllowed();
     bool allKnown() const;
 
     context &shared_;
--- a/packages/control/test/coordinator-test.cc
+++ b/packages/control/test/coordinator-test.cc
@@ -159,3 +159,56 @@
     CHECK_TRUE(scene->entries()[1].drained);
     CHECK_FALSE(scene->entries()[0].drained);
 }
+
+// Guards against an acknowledged departure that a crash of the leader loses.
+TEST(coordinator, showsDeparturesOnlyAfterTheCommit)
+{
+    scene->run(1000);
+    scene->log().held = true;
+    auto about = scene->workers()[0].about;
+    about.state = upstream_state::Leaving;
+    sync_request request;
+    request.entryId = "entry-9";
+    request.entryIncarnation = 1;
+    request.announcements = {about};
+    const auto ask = [&] {
+        auto state = upstream_state::Gone;
+        scene->leader().sync(scene->now(), request, [&](const sync_response &response) {
+            for (const auto &value : response.upstreams)
+                if (value.id == about.id)
+                    state = value.state;
+        });
+        return state;
+    };
+    CHECK_TRUE(ask() == upstream_state::Serving);
+    scene->log().release();
+    CHECK_TRUE(ask() == upstream_state::Leaving);
+    // The mark is final: a late announcement of the same incarnation changes nothing.
+    request.announcements[0].state = upstream_state::Serving;
+    CHECK_TRUE(ask() == upstream_state::Leaving);
+}
+
+// Guards against an entry that serves old tables for ever because it can't apply new ones.
+TEST(coordinator, endsTheLeaseOfAnEntryThatDoesNotApply)
+{
+    sync_request request;
+    request.entryId = "entry-9";
+    request.entryIncarnation = 1;
+    milliseconds lease {0};
+    const auto ask = [&] {
+        scene->leader().sync(scene->now(), request,
+                             [&](const sync_response &response) { lease = response.lease; });
+    };
+    ask();
+    LONGS_EQUAL(2000, lease.count());
+    scene->run(1500);
+    ask();
+    LONGS_EQUAL(2000, lease.count());
+    scene->run(600);
+    ask();
+    LONGS_EQUAL(0, lease.count());
+    request.appliedVersion = 1;
+    ask();
+    scene->run(600);
+    LONGS_EQUAL(2000, lease.count());
+}
