--- a/packages/control/src/jobs.cc
+++ b/packages/control/src/jobs.cc
@@ -11,7 +11,7 @@
 using placement::attempt_end;
 
 // Finds ledger changes whose reply was lost; those with a reply are handled at once.
-constexpr milliseconds reconcilePeriod {500};
+constexpr milliseconds reconcilePeriod {1000};
 
 std::uint32_t attemptOf(const job_entry &entry)
 {
@@ -35,6 +35,8 @@
     deferred_.clear();
     tracked_.clear();
     byWorker_.clear();
+    due_.clear();
+    leasesChecked_ = false;
     quarantined_.clear();
     waits_.clear();
     recordsProposed_ = false;
@@ -78,8 +80,12 @@
                   coordinator::completion<job_id> done)
 {
     const auto toId = [](const reply &answer) { return static_cast<job_id>(answer.value); };
-    shared_.commitFor<job_id>(submit_job {key, spec}, std::move(done), toId,
-                              [this, toId](const reply &answer) { track(toId(answer)); });
+    const auto effect = [this, toId](const reply &answer) {
+        if (!started_)
+            noteWait(toId(answer), wait_reason::RebuildingView, {}, {});
+        track(toId(answer));
+    };
+    shared_.commitFor<job_id>(submit_job {key, spec}, std::move(done), toId, effect);
 }
 
 void jobs::cancel(job_id id, coordinator::completion<std::monostate> done)
@@ -91,14 +97,17 @@
 
 void jobs::report(const std::vector<task_report> &reports)
 {
+    std::set<job_id> changed;
     for (const auto &item : reports) {
         const auto *entry = shared_.data().find(item.task.job);
         const auto found = tracked_.find(item.task.job);
         if (!entry || found == tracked_.end() || !found->second.progress)
             continue;
         if (takeReport(*entry, *found->second.progress, item))
-            advance(item.task.job);
+            changed.insert(item.task.job);
     }
+    for (const auto id : changed)
+        advance(id);
     orders_.flush();
 }
 
@@ -117,6 +126,7 @@
             step(ended);
         step(placement::clock_ticked {});
     }
+    advanceDue();
     if (shared_.now() >= nextReconcile_) {
         nextReconcile_ = shared_.now() + reconcilePeriod;
         reconcile();
@@ -126,12 +136,32 @@
     orders_.flush();
 }
 
+void jobs::advanceDue()
+{
+    const auto due = std::move(due_);
+    due_.clear();
+    for (const auto id : due)
+        advance(id);
+}
+
 void jobs::reconcile()
 {
-    auto open = shared_.data().openJobs;
+    // Workers that a new leader never heard count as lost from here on; no event tells.
+    const bool all = !leasesChecked_
+            && shared_.now() >= shared_.leaderSince() + shared_.options().upstreamLease;
+    leasesChecked_ = leasesChecked_ || all;
+    std::vector<job_id> differing;
+    for (const auto id : shared_.data().openJobs) {
+        const auto found = tracked_.find(id);
+        const auto &entry = *shared_.data().find(id);
+        if (all || found == tracked_.end()
+            || found->second.seen != std::pair {entry.state, entry.attempt})
+            differing.push_back(id);
+    }
     for (const auto &[id, job] : tracked_)
-        open.insert(id);
-    for (const auto id : open)
+        if (!shared_.data().openJobs.contains(id))
+            differing.push_back(id);
+    for (const auto id : differing)
         track(id);
 }
 
@@ -155,6 +185,7 @@
             tracked_.erase(found);
             return;
         }
+        found->second.seen = {entry->state, entry->attempt};
         if (!advanceOnce(*entry, found->second))
             return;
     }
@@ -187,6 +218,7 @@
     job.grant.reset();
     job.progress.emplace();
     job.progress->attempt = entry.attempt;
+    job.shown.reset();
     job.progress->tasks.resize(entry.workers.size());
     for (const auto &grant : entry.workers) {
         job.workers.push_back(grant.worker);
@@ -236,7 +268,14 @@
         progress.stopSeen = true;
         progress.stoppedAt = shared_.now();
     }
-    orders_.set(entry.id, desiredOrders(entry, progress, members_, shared_.now()));
+    // Its deadlines pass without an event.
+    if (entry.state == job_state::Stopping)
+        due_.insert(entry.id);
+    const auto action = desiredAction(entry, progress, shared_.now());
+    if (job.shown == action)
+        return;
+    job.shown = action;
+    orders_.set(entry.id, desiredOrders(entry, members_, action));
 }
 
 void jobs::advanceOpen(const job_entry &entry, tracked &job)
@@ -327,8 +366,10 @@
         if (found == tracked_.end())
             return;
         found->second.proposed = false;
-        // After a failure the next reconciliation proposes what is still needed.
-        if (!failed(outcome))
+        // After a failure the next tick proposes what is still needed.
+        if (failed(outcome))
+            due_.insert(id);
+        else
             advance(id);
         orders_.flush();
     });
@@ -340,8 +381,11 @@
     if (found == byWorker_.end())
         return;
     const auto concerned = found->second;
-    for (const auto id : concerned)
+    for (const auto id : concerned) {
+        if (const auto job = tracked_.find(id); job != tracked_.end())
+            job->second.shown.reset();
         advance(id);
+    }
     orders_.flush();
 }
 
--- a/packages/control/src/jobs.h
+++ b/packages/control/src/jobs.h
@@ -56,6 +56,8 @@
         std::optional<end_job> end; // to be committed
         std::optional<attempt_progress> progress; // of the open attempt
         std::vector<std::string> workers; // of the open attempt
+        std::optional<task_action> shown; // by the orders; empty when they must be built again
+        std::pair<job_state, std::uint32_t> seen {}; // state and attempt when last looked at
     };
 
     void step(const placement::event &input);
@@ -80,7 +82,9 @@
     bool checkGrant(tracked &job, job_id id);
     void propose(job_id id, tracked &job, const command_body &body);
     void concern(const std::string &worker);
+    void advanceDue();
     void reconcile();
+    void noteWait(job_id id, wait_reason reason, job_id behind, const std::string &detail);
     void commitRecords();
     void trim();
 
@@ -94,11 +98,13 @@
     std::vector<placement::attempt_ended> deferred_;
     std::map<job_id, tracked> tracked_;
     std::map<std::string, std::set<job_id>> byWorker_;
+    std::set<job_id> due_; // to look at in the next tick
     std::set<std::string> quarantined_;
     std::map<job_id, decision_record> waits_; // changes of the reason, not committed yet
     bool recordsProposed_ = false;
     bool trimProposed_ = false;
     time_point nextReconcile_;
+    bool leasesChecked_ = false; // after the first upstream lease of the term
     time_point nextRecords_;
     time_point nextTrim_;
 };
--- a/packages/control/src/slot_shares.cc
+++ b/packages/control/src/slot_shares.cc
@@ -56,6 +56,7 @@
     std::erase_if(target.held, [](const auto &item) { return item.second == 0; });
     target.heardSequence = target.sentSequence;
     target.known = true;
+    forgetAllowed();
 }
 
 std::map<std::string, slot_shares::pool_members> slot_shares::servedPools() const
@@ -67,9 +68,12 @@
     for (const auto &row : current.pools)
         if (const auto found = served.find(row.name); found != served.end())
             found->second.slots = row.slots;
-    for (const auto &value : members_.upstreams())
+    if (served.empty())
+        return served;
+    members_.forEach([&](const announcement &value) {
         if (const auto found = served.find(value.pool); found != served.end())
-            found->second.upstreams.push_back(value);
+            found->second.upstreams.emplace_back(value.id, value.slots);
+    });
     return served;
 }
 
@@ -126,16 +130,17 @@
 
 void slot_shares::update()
 {
+    forgetAllowed();
     slots_.clear();
     for (auto &[id, target] : holders_)
         target.target.clear();
     if (holders_.empty())
         return;
     for (const auto &[name, served] : servedPools()) {
-        for (const auto &value : served.upstreams) {
-            const auto slots = std::min(served.slots, value.slots);
-            slots_[value.id] = slots;
-            share(value.id, name, served.upstreams.size(), slots);
+        for (const auto &[upstream, offered] : served.upstreams) {
+            const auto slots = std::min(served.slots, offered);
+            slots_[upstream] = slots;
+            share(upstream, name, served.upstreams.size(), slots);
         }
     }
 }
@@ -145,7 +150,26 @@
     return std::ranges::all_of(holders_, [](const auto &item) { return item.second.known; });
 }
 
-slot_shares::share_map slot_shares::allowed(const holder &target) const
+void slot_shares::forgetAllowed()
+{
+    for (auto &[id, target] : holders_)
+        target.allowed.reset();
+}
+
+void slot_shares::drop(const std::string &entryId)
+{
+    holders_.erase(entryId);
+    forgetAllowed();
+}
+
+const slot_shares::share_map &slot_shares::allowed(holder &target)
+{
+    if (!target.allowed)
+        target.allowed = computeAllowed(target);
+    return *target.allowed;
+}
+
+slot_shares::share_map slot_shares::computeAllowed(const holder &target) const
 {
     // Shares of upstreams that are gone are taken back by name, because an empty list changes none.
     share_map shares;
@@ -168,7 +192,7 @@
     return shares;
 }
 
-bool slot_shares::hasNews(const std::string &entryId) const
+bool slot_shares::hasNews(const std::string &entryId)
 {
     const auto found = holders_.find(entryId);
     if (found == holders_.end() || !shared_.earlierLeasesEnded())
@@ -182,9 +206,9 @@
     if (found == holders_.end() || !shared_.earlierLeasesEnded())
         return;
     auto &target = found->second;
-    auto shares = allowed(target);
+    const auto shares = allowed(target);
     if (shares != target.sent || target.sentSequence == 0) {
-        target.sent = std::move(shares);
+        target.sent = shares;
         target.sentSequence = view_.bump();
     }
     // Shares that the entry holds are not repeated; that cost 80 bytes a second for each upstream.
@@ -196,6 +220,7 @@
         held = std::max(held, slots);
         response.shares.push_back({upstream, slots});
     }
+    forgetAllowed();
 }
 
 } // namespace persimmon::control
