Give refusals of the listener and of the job interface an outcome

Change: server_options::refusalHeaders; answers about jobs carry the outcome of the call itself. A call that the leader did not answer is unknown.

Planted faults seen red: no outcome on answers about jobs; no outcome on the listener's refusals.

--- a/packages/entry/src/api_service.cc
+++ b/packages/entry/src/api_service.cc
@@ -66,6 +66,21 @@
     return withBody(200, formatJobResult(job));
 }
 
+// Adds the outcome to an answer about a job: whether the call itself took effect.
+http::server::reply withOutcome(const http::server::reply &reply)
+{
+    return [reply](http::response response) {
+        const bool accepted = response.status < 300;
+        // A call that the leader did not answer may have taken effect.
+        const bool unknown = response.status >= 500;
+        const auto outcome = accepted ? request_outcome::Ran
+                : unknown             ? request_outcome::Unknown
+                                      : request_outcome::NotRun;
+        response.headers.push_back({"Persimmon-Outcome", std::string(toName(outcome))});
+        reply(std::move(response));
+    };
+}
+
 std::optional<job_id> parseId(std::string_view text)
 {
     std::uint64_t number = 0;
@@ -101,7 +116,7 @@
     if (request.path == "/v1/announce" && request.method == "POST")
         announce(request, reply);
     else if (request.path.starts_with(jobsPath))
-        handleJobs(request, reply);
+        handleJobs(request, withOutcome(reply));
     else
         reply(http::refusal(notFound("no such interface")));
 }
--- a/packages/entry/src/entry_program.cc
+++ b/packages/entry/src/entry_program.cc
@@ -99,9 +99,13 @@
 
     status open()
     {
-        const http::server_options options {values_.httpListen, values_.httpThreads,
-                                            values_.maxHeaderBytes, values_.maxBodyBytes,
-                                            values_.httpTimeout};
+        http::server_options options;
+        options.address = values_.httpListen;
+        options.threads = values_.httpThreads;
+        options.maxHeaderBytes = values_.maxHeaderBytes;
+        options.maxBodyBytes = values_.maxBodyBytes;
+        options.timeout = values_.httpTimeout;
+        options.refusalHeaders = {{"Persimmon-Outcome", "not_run"}};
         auto opened = http::server::listen(
                 loop_, options,
                 [this, alive = alive_](http::request request, const http::server::reply &reply) {
--- a/packages/entry/test/entry_program-test.cc
+++ b/packages/entry/test/entry_program-test.cc
@@ -286,6 +286,7 @@
     const auto accepted = submit(R"({"workspace":"boards","tasks":64,"cores":2,"payload":"x"})");
     CHECK_CONTAINS(" 202 ", accepted);
     CHECK_CONTAINS("{\"id\":1}", accepted);
+    CHECK_CONTAINS("Persimmon-Outcome: ran", accepted);
     CHECK_CONTAINS("made", entry.call("GET", "/v1/jobs/1/result"));
     CHECK_CONTAINS("not_found", entry.call("GET", "/v1/jobs/7"));
     const std::vector<std::pair<std::string, std::string>> refused {
@@ -302,8 +303,12 @@
     for (const auto &[body, part] : refused) {
         const auto answer = submit(body);
         CHECK_CONTAINS("HTTP/1.1 4", answer);
+        CHECK_CONTAINS("Persimmon-Outcome: not_run", answer);
         CHECK_CONTAINS(part, answer);
     }
+    const auto large = submit(std::string(1048577, ' '));
+    CHECK_CONTAINS("body_too_large", large);
+    CHECK_CONTAINS("Persimmon-Outcome: not_run", large);
 }
 
 // Guards against orders from an entry that does not know the leader's view, which would stop tasks,
--- a/packages/http/include/http/server.h
+++ b/packages/http/include/http/server.h
@@ -54,6 +54,7 @@
     std::uint64_t maxHeaderBytes = 16384;
     std::uint64_t maxBodyBytes = 1048576;
     milliseconds timeout {30000}; // for receiving one request
+    std::vector<header> refusalHeaders; // added to the listener's own refusals
 };
 
 // HTTP/1.1 listener. Requests over the limits, with ambiguous framing or with a cut body never
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -162,13 +162,21 @@
     }
 
 private:
+    void refuse(const http_request &message, const error &reason) const
+    {
+        auto answer = refusal(reason);
+        answer.headers.insert(answer.headers.end(), options_.refusalHeaders.begin(),
+                              options_.refusalHeaders.end());
+        send(message, std::move(answer));
+    }
+
     void receive(const http_request &message)
     {
         if (const auto refused = checkHeaders(message.headers(), options_)) {
             // Closing the stream keeps the library from buffering a body of any size. It still
             // reads the body before it sends the answer.
             message.body().close();
-            send(message, refusal(*refused));
+            refuse(message, *refused);
             return;
         }
         auto reader = std::make_shared<body_reader>();
@@ -185,11 +193,11 @@
             if (!done.get()) {
                 // Closing the stream keeps the library from buffering the rest of the body.
                 reader.stream.close();
-                send(message,
-                     refusal({result_code::BodyTooLarge,
-                              "at most " + std::to_string(reader.limit) + " bytes",
-                              {},
-                              {}}));
+                refuse(message,
+                       {result_code::BodyTooLarge,
+                        "at most " + std::to_string(reader.limit) + " bytes",
+                        {},
+                        {}});
                 return;
             }
         } catch (const std::exception &failure) {
