Never reuse a connection after an answer that was not whole

Cause: after "100 Continue", after a 204 with a length, and after HEAD, the library takes the answer as finished and puts the connection back into its pool. What the upstream sent 100 ms later on it was relayed to the next caller as that caller's own answer. The library also answered OPTIONS and TRACE by itself.

Change: an attempt that did not end with a whole answer retires the shared client of its upstream; a 204 that announces a body is not whole; HEAD gets a connection of its own. OPTIONS and TRACE reach the handler. Bytes sent after a whole answer to another method can still not be noticed with this library when they arrive late.

--- a/packages/entry/src/upstream_client.cc
+++ b/packages/entry/src/upstream_client.cc
@@ -114,12 +114,16 @@
     answer.body = std::move(item.body.collection());
     answer.body.resize(item.received);
     const auto length = headers.find("Content-Length");
+    const bool bodyAfterNoContent = item.response.status_code() == 204
+            && (headers.has("Transfer-Encoding")
+                || (length != headers.end() && length->second != "0"));
     if (!withinLimit) {
         answer.end = attempt_end::TooLarge;
-    } else if (!hasNoBody(item)
-               && (!hasFraming(headers)
-                   || (length != headers.end()
-                       && std::stoull(length->second) != answer.body.size()))) {
+    } else if (bodyAfterNoContent
+               || (!hasNoBody(item)
+                   && (!hasFraming(headers)
+                       || (length != headers.end()
+                           && std::stoull(length->second) != answer.body.size())))) {
         answer.end = attempt_end::Incomplete;
         answer.detail = "the end of the answer is not known";
     } else {
@@ -182,7 +186,9 @@
             ++open_;
         }
         try {
-            item->client = singleUse ? newClient(address) : sharedClient(address);
+            // A body sent after the answer to HEAD would be taken for the next answer.
+            const bool fresh = singleUse || request.method == "HEAD";
+            item->client = fresh ? newClient(address) : sharedClient(address);
             start(which, item, toMessage(request), done);
         } catch (const std::exception &failure) {
             // The address or a header field is not usable; nothing was sent.
@@ -229,6 +235,13 @@
         return entry.client;
     }
 
+    // Keeps the connections of a client from being used again. After an answer that was not whole,
+    // the rest of it may still arrive, and the library would take it for the next answer.
+    void dropShared(const std::shared_ptr<http_client> &client)
+    {
+        std::erase_if(shared_, [&](const auto &entry) { return entry.second.client == client; });
+    }
+
     void start(attempt_ref which, const std::shared_ptr<exchange> &item,
                const web::http::http_request &message, const completion &done)
     {
@@ -260,7 +273,10 @@
         loop_.post([this, alive = alive_, which, shared, done = std::move(done)] {
             if (!*alive)
                 return;
-            running_.erase(which);
+            const auto ended = running_.extract(which);
+            const auto end = shared->end;
+            if (end != attempt_end::Answered && end != attempt_end::NotConnected)
+                dropShared(ended.mapped()->client);
             done(std::move(*shared));
         });
         const std::scoped_lock lock(mutex_);
--- a/packages/entry/test/entry_program-test.cc
+++ b/packages/entry/test/entry_program-test.cc
@@ -212,6 +212,28 @@
     CHECK_CONTAINS("answer 1", entry.call("GET", "/r/x"));
 }
 
+// Guards against the late rest of an answer that reaches the next caller on the same connection.
+TEST(entry_program, dropsConnectionsWithUnfinishedAnswers)
+{
+    const std::vector<std::string> starts {"HTTP/1.1 100 X\r\n\r\n",
+                                           "HTTP/1.1 204 X\r\nContent-Length: 4\r\n\r\n",
+                                           "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"};
+    scripted_peer peer([&](std::size_t number, const std::string &) {
+        return number % 2 == 0
+                ? peer_step {starts.at(number / 2), false, 0, wholeAnswer(200, "late")}
+                : peer_step {wholeAnswer(200, "own")};
+    });
+    entry_fixture entry;
+    configure(entry.control, {peer.address()});
+    CHECK(entry.waitReady());
+    for (std::size_t index = 0; index < starts.size(); ++index) {
+        const auto start = entry.call(index == 2 ? "HEAD" : "GET", "/r/x");
+        CHECK_CONTAINS(index == 2 ? " 200 " : "answer_incomplete", start);
+        std::this_thread::sleep_for(milliseconds {200});
+        CHECK_CONTAINS("\r\n\r\nown", entry.call("GET", "/r/x"));
+    }
+}
+
 // Guards against a false `unknown` where nothing was written, and a false `not_run` elsewhere: the
 // text by which the library reports a failed connect is the only proof.
 TEST(entry_program, answersNotRunWhenNoUpstreamAccepts)
--- a/packages/entry/test/socket_peer-test.cc
+++ b/packages/entry/test/socket_peer-test.cc
@@ -120,6 +120,10 @@
         const auto step = behaviour_(number, request);
         std::this_thread::sleep_for(std::chrono::milliseconds(step.delayMs));
         ::send(connection, step.bytes.data(), step.bytes.size(), MSG_NOSIGNAL);
+        if (!step.late.empty()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            ::send(connection, step.late.data(), step.late.size(), MSG_NOSIGNAL);
+        }
         if (step.close)
             break;
     }
--- a/packages/entry/test/socket_peer.h
+++ b/packages/entry/test/socket_peer.h
@@ -15,6 +15,7 @@
     std::string bytes; // sent as they are
     bool close = false; // after the bytes
     int delayMs = 0; // before the bytes
+    std::string late {}; // sent 100 ms after the bytes
 };
 
 // TCP server that reads HTTP requests and answers with scripted bytes. Counts every request that
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -138,7 +138,11 @@
         try {
             listener_ = web::http::experimental::listener::http_listener(
                     "http://" + options_.address + "/", config);
-            listener_.support([this](const http_request &message) { receive(message); });
+            const auto handle = [this](const http_request &message) { receive(message); };
+            listener_.support(handle);
+            // The library answers these two by itself unless they have a handler of their own.
+            listener_.support(web::http::methods::OPTIONS, handle);
+            listener_.support(web::http::methods::TRCE, handle);
             listener_.open().wait();
         } catch (const std::exception &failure) {
             return error {result_code::StorageFailed,
--- a/packages/http/test/server-test.cc
+++ b/packages/http/test/server-test.cc
@@ -117,6 +117,16 @@
     CHECK_TRUE(answer.find("Content-Type") == std::string::npos);
 }
 
+// Guards against methods that the library answers by itself.
+TEST(http_server, handsOverAllMethods)
+{
+    for (const std::string method : {"OPTIONS", "TRACE", "PURGE"}) {
+        serve(method + " / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        STRCMP_EQUAL(method.c_str(), received.back().method.c_str());
+    }
+    LONGS_EQUAL(3, received.size());
+}
+
 // Guards against a body limit that holds only for declared lengths, or only roughly.
 TEST(http_server, refusesBodiesOverTheLimit)
 {
