--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -4,11 +4,9 @@
 
 #include <cpprest/http_listener.h>
 #include <cpprest/json.h>
-#include <cpprest/rawptrstream.h>
 #include <pplx/threadpool.h>
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <mutex>
 #include <optional>
@@ -44,14 +42,6 @@
     });
 }
 
-error bodyTooLarge(const server_options &options)
-{
-    return {result_code::BodyTooLarge,
-            "at most " + std::to_string(options.maxBodyBytes) + " bytes",
-            {},
-            {}};
-}
-
 // Checks what the header fields show before any byte of the body is taken.
 std::optional<error> checkHeaders(const web::http::http_headers &headers,
                                   const server_options &options)
@@ -69,46 +59,40 @@
         return std::nullopt;
     const auto length = headers.find("Content-Length")->second;
     const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
-    // Of two Content-Length fields the library shows the last one only; since the body that is
-    // passed on has that length, nothing behind it can be smuggled in.
+    // Of repeated lengths the library keeps only the last, by which it also reads the body, so they
+    // can't be refused here; the request passed on gets a single length of its own.
     if (chunked || length.empty() || length.size() > 18 || !std::ranges::all_of(length, isDigit))
         return error {result_code::AmbiguousFraming,
                       "one Content-Length or chunks",
                       "Content-Length",
                       {}};
     if (std::stoull(length) > options.maxBodyBytes)
-        return bodyTooLarge(options);
+        return error {result_code::BodyTooLarge,
+                      "at most " + std::to_string(options.maxBodyBytes) + " bytes",
+                      {},
+                      {}};
     return std::nullopt;
 }
 
 constexpr std::size_t readChunkBytes = 16384;
 
-// The library sends an answer only once the whole body has arrived, so a body over the limit is
-// read and dropped up to this multiple of the limit; past it the stream is closed.
-constexpr std::uint64_t drainFactor = 64;
-
 struct body_reader
 {
     concurrency::streams::istream stream;
-    std::array<std::uint8_t, readChunkBytes> chunk;
-    std::string body;
-    std::uint64_t received = 0;
+    concurrency::streams::container_buffer<std::string> buffer;
     std::uint64_t limit = 0;
-
-    bool withinLimit() const { return received <= limit; }
+    std::size_t received = 0; // bytes of the body; the buffer itself grows ahead of them
 };
 
-// Reads a body; what lies over the limit is dropped, so that the memory of a request is bounded.
-pplx::task<void> readBody(const std::shared_ptr<body_reader> &reader)
+// Reads a body up to the limit; the task's value tells whether the body stayed within it.
+pplx::task<bool> readBody(const std::shared_ptr<body_reader> &reader)
 {
-    const concurrency::streams::rawptr_buffer<std::uint8_t> buffer(reader->chunk.data(),
-                                                                   reader->chunk.size());
-    return reader->stream.read(buffer, readChunkBytes).then([reader](std::size_t count) {
+    return reader->stream.read(reader->buffer, readChunkBytes).then([reader](std::size_t count) {
         reader->received += count;
-        if (reader->withinLimit())
-            reader->body.append(reinterpret_cast<const char *>(reader->chunk.data()), count);
-        if (count == 0 || reader->received > reader->limit * drainFactor)
-            return pplx::task_from_result();
+        if (reader->received > reader->limit)
+            return pplx::task_from_result(false);
+        if (count == 0)
+            return pplx::task_from_result(true);
         return readBody(reader);
     });
 }
@@ -118,8 +102,8 @@
     request converted;
     converted.method = message.method();
     const auto uri = message.relative_uri();
+    converted.path = web::uri::decode(uri.path());
     converted.rawPath = uri.path();
-    converted.path = web::uri::decode(converted.rawPath);
     converted.query = uri.query();
     for (const auto &[name, value] : message.headers())
         converted.headers.push_back({name, value});
@@ -147,7 +131,11 @@
         try {
             listener_ = web::http::experimental::listener::http_listener(
                     "http://" + options_.address + "/", config);
-            listener_.support([this](const http_request &message) { receive(message); });
+            const auto handle = [this](const http_request &message) { receive(message); };
+            listener_.support(handle);
+            // The library answers these two by itself unless they have a handler of their own.
+            listener_.support(web::http::methods::OPTIONS, handle);
+            listener_.support(web::http::methods::TRCE, handle);
             listener_.open().wait();
         } catch (const std::exception &failure) {
             return error {result_code::StorageFailed,
@@ -181,29 +169,41 @@
 
     void receive(const http_request &message)
     {
-        auto refused = checkHeaders(message.headers(), options_);
+        if (const auto refused = checkHeaders(message.headers(), options_)) {
+            // Closing the stream keeps the library from buffering a body of any size. It still
+            // reads the body before it sends the answer.
+            message.body().close();
+            refuse(message, *refused);
+            return;
+        }
         auto reader = std::make_shared<body_reader>();
         reader->stream = message.body();
         reader->limit = options_.maxBodyBytes;
-        readBody(reader).then([this, message, reader, refused](const pplx::task<void> &done) {
-            try {
-                done.get();
-                finish(message, *reader, refused);
-            } catch (const std::exception &failure) {
-                logFor("http")->debug("request body was cut: {}", failure.what());
-            }
+        readBody(reader).then([this, message, reader](const pplx::task<bool> &done) {
+            finish(message, *reader, done);
         });
     }
 
-    void finish(const http_request &message, body_reader &reader,
-                const std::optional<error> &refused)
+    void finish(const http_request &message, body_reader &reader, const pplx::task<bool> &done)
     {
-        if (refused || !reader.withinLimit()) {
-            refuse(message, refused.value_or(bodyTooLarge(options_)));
-            reader.stream.close();
+        try {
+            if (!done.get()) {
+                // Closing the stream keeps the library from buffering the rest of the body.
+                reader.stream.close();
+                refuse(message,
+                       {result_code::BodyTooLarge,
+                        "at most " + std::to_string(reader.limit) + " bytes",
+                        {},
+                        {}});
+                return;
+            }
+        } catch (const std::exception &failure) {
+            logFor("http")->debug("request body was cut: {}", failure.what());
             return;
         }
-        auto converted = std::make_shared<request>(toRequest(message, std::move(reader.body)));
+        auto body = std::move(reader.buffer.collection());
+        body.resize(reader.received);
+        auto converted = std::make_shared<request>(toRequest(message, std::move(body)));
         loop_.post([this, message, converted] {
             onRequest_(std::move(*converted),
                        [message](response answer) { send(message, std::move(answer)); });
