--- a/packages/placement/src/core.h
+++ b/packages/placement/src/core.h
@@ -10,7 +10,7 @@
 
 // Most full searches of one step; the rest of a pass continues with the next event. Bounds the cost
 // of a step after a burst or the loss of a rack.
-constexpr std::uint32_t maxSearches = 12;
+constexpr std::uint32_t maxSearches = 4;
 // Most job_waits actions of one step beyond the one of a submitted job.
 constexpr std::uint32_t maxReports = 32;
 // Reservations of one pool at a time. More would idle too many workers.
--- a/packages/placement/src/estimator.cc
+++ b/packages/placement/src/estimator.cc
@@ -8,10 +8,17 @@
                                  std::int32_t accelerators, milliseconds runTime)
 {
     const auto key = keyOf(workspace, priority, accelerators);
-    if (histograms_.size() >= maxHistograms && !histograms_.contains(key)) {
+    if (key >= rankOf_.size() && key < maxKeys) {
+        rankOf_.resize(key + 1);
+    }
+    if (key >= maxKeys || (rankOf_[key] == 0 && histograms_.size() >= maxHistograms)) {
         return;
     }
-    auto &samples = histograms_[key];
+    if (rankOf_[key] == 0) {
+        histograms_.emplace_back();
+        rankOf_[key] = static_cast<std::uint16_t>(histograms_.size());
+    }
+    auto &samples = histograms_[rankOf_[key] - 1U];
     const auto seconds
             = static_cast<std::uint64_t>(std::max<std::int64_t>(runTime.count(), 0)) / 1000;
     ++samples.counts[std::min<std::uint32_t>(std::bit_width(seconds), bins - 1)];
@@ -47,9 +54,12 @@
                                                               priority_class priority,
                                                               std::int32_t accelerators) const
 {
-    const auto place = histograms_.find(keyOf(workspace, priority, accelerators));
-    return place == histograms_.end() || place->second.total < minSamples ? nullptr
-                                                                          : &place->second;
+    const auto key = keyOf(workspace, priority, accelerators);
+    if (key >= rankOf_.size() || rankOf_[key] == 0) {
+        return nullptr;
+    }
+    const auto &samples = histograms_[rankOf_[key] - 1U];
+    return samples.total < minSamples ? nullptr : &samples;
 }
 
 milliseconds run_time_estimator::expected(index_t workspace, priority_class priority,
@@ -71,8 +81,7 @@
 
 std::size_t run_time_estimator::bytes() const
 {
-    return histograms_.size() * (sizeof(histogram) + 3 * sizeof(void *))
-            + histograms_.bucket_count() * sizeof(void *);
+    return histograms_.capacity() * sizeof(histogram) + rankOf_.capacity() * sizeof(std::uint16_t);
 }
 
 } // namespace persimmon::placement::detail
--- a/packages/placement/src/estimator.h
+++ b/packages/placement/src/estimator.h
@@ -5,7 +5,7 @@
 #include "base/clock.h"
 
 #include <array>
-#include <unordered_map>
+#include <vector>
 
 namespace persimmon::placement::detail {
 
@@ -32,6 +32,7 @@
     static constexpr std::uint32_t minSamples = 8;
     static constexpr std::uint32_t maxSamples = 256; // halved beyond, so that old runs fade
     static constexpr std::size_t maxHistograms = 16384;
+    static constexpr std::uint32_t maxKeys = 1U << 18; // 4,096 workspaces
 
     struct histogram
     {
@@ -45,7 +46,8 @@
     const histogram *find(index_t workspace, priority_class priority,
                           std::int32_t accelerators) const;
 
-    std::unordered_map<std::uint32_t, histogram> histograms_;
+    std::vector<std::uint16_t> rankOf_; // by key: place in histograms_ plus one
+    std::vector<histogram> histograms_;
 };
 
 } // namespace persimmon::placement::detail
