Keep jobs that avoid workers from using up the searches of a step

With 4 searches a step, jobs that had failed before were searched for again in every pass, since only kinds of jobs without failures were remembered, and hiding the avoided workers counted as a change. Such jobs now form their own kind, hidden workers are restored without a change, and a worker that becomes unhealthy makes all failed searches be forgotten.

--- a/packages/placement/src/dispatch.cc
+++ b/packages/placement/src/dispatch.cc
@@ -191,12 +191,10 @@
     const auto &entry = state_.jobs[job];
     const auto urgent = entry.priority == priority_class::Urgent;
     auto &kind = queue_.kindOf(entry.group);
-    if (entry.failedOn.empty()) {
-        kind.failed[urgent] = true;
-        kind.seen[urgent] = state_.pools[entry.pool].changeCount;
-        kind.reason[urgent] = why.reason;
-        kind.behind[urgent] = why.behind;
-    }
+    kind.failed[urgent] = true;
+    kind.seen[urgent] = state_.pools[entry.pool].changeCount;
+    kind.reason[urgent] = why.reason;
+    kind.behind[urgent] = why.behind;
 }
 
 bool core::overQuota(index_t job) const
@@ -277,16 +275,21 @@
     if (entry.failedOn.empty()) {
         return pool.at(kind).find(*pool.order, need, found);
     }
+    auto &healthy = pool.at(view::Healthy);
+    std::vector<std::tuple<index_t, amount, amount>> hidden;
     for (const auto worker : entry.failedOn) {
+        const auto local = state_.workers[worker].local;
         if (state_.workers[worker].pool == entry.pool) {
-            pool.at(kind).set(state_.workers[worker].local, {});
-            pool.at(view::Healthy).set(state_.workers[worker].local, {});
+            hidden.emplace_back(local, pool.at(kind).available(local), healthy.available(local));
+            pool.at(kind).set(local, {});
+            healthy.set(local, {});
         }
     }
-    const auto avoidable = pool.at(view::Healthy).find(*pool.order, need, found);
+    const auto avoidable = healthy.find(*pool.order, need, found);
     const auto placed = avoidable && pool.at(kind).find(*pool.order, need, found);
-    for (const auto worker : entry.failedOn) {
-        state_.refresh(worker);
+    for (const auto &[local, room, whole] : hidden) {
+        pool.at(kind).set(local, room);
+        healthy.set(local, whole);
     }
     return avoidable ? placed : pool.at(kind).find(*pool.order, need, found);
 }
--- a/packages/placement/src/quarantine.cc
+++ b/packages/placement/src/quarantine.cc
@@ -142,6 +142,8 @@
         }
     }
     state_.refresh(worker);
+    // Jobs that avoid workers may now have to use them: all failed searches are forgotten.
+    pool.changeCount += pool_entry::maxChanges + 1;
     pool.bindNeeded = true;
     pool.dispatchNeeded = true;
 }
--- a/packages/placement/src/wait_queue.cc
+++ b/packages/placement/src/wait_queue.cc
@@ -21,8 +21,13 @@
 
 wait_queue::kind_key wait_queue::keyOf(const job_entry &job)
 {
-    return {job.pool,  job.task.accelerators, job.task.cores, job.task.memoryMb,
-            job.tasks, job.repeatable};
+    return {job.pool,
+            job.task.accelerators,
+            job.task.cores,
+            job.task.memoryMb,
+            job.tasks,
+            job.repeatable,
+            job.failedOn.empty() ? job_id {} : job.id};
 }
 
 wait_queue::group_key wait_queue::keyOf(const job_entry &job, index_t kind)
--- a/packages/placement/src/wait_queue.h
+++ b/packages/placement/src/wait_queue.h
@@ -55,8 +55,8 @@
     std::size_t bytes() const;
 
 private:
-    using kind_key
-            = std::tuple<index_t, std::int32_t, std::int32_t, std::int32_t, std::uint32_t, bool>;
+    using kind_key = std::tuple<index_t, std::int32_t, std::int32_t, std::int32_t, std::uint32_t,
+                                bool, job_id>; // the job only if it avoids workers
     using group_key = std::tuple<index_t, priority_class, index_t, job_id>; // kind is per pool
 
     index_t kindFor(const job_entry &job);
