--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -101,7 +101,15 @@
     // Expires leases and runs placement; call about every 20 ms.
     virtual void tick(time_point now, wall_ms wall) = 0;
 
-    // Answers an entry when there is news or its wait has passed.
+    // Answers an entry when there is news or its wait has passed. An entry
+    // - counts the lease from the moment it sent the request, and drops late answers;
+    // - applies the tables of an answer before it uses the answer's lease;
+    // - sends all announcements and task reports again when the view's epoch changes, and an
+    //   announcement whenever its view lacks that incarnation of the upstream;
+    // - replaces its view on fullView only: a new leader's first answers add to the earlier view;
+    // - acknowledges a departure once its view shows the upstream as leaving;
+    // - replaces all shares by a list that is not empty, keeps them when the list is empty, and
+    //   drops them when its lease ends.
     virtual void sync(time_point now, const sync_request &request,
                       std::function<void(sync_response)> done)
             = 0;
--- a/packages/control/test/coordinator-test.cc
+++ b/packages/control/test/coordinator-test.cc
@@ -212,3 +212,44 @@
     scene->run(600);
     LONGS_EQUAL(2000, lease.count());
 }
+
+// Guards against slots used twice after a leader change: what the earlier leader lent is not known.
+TEST(coordinator, takesBackSharesOfAnEarlierLeader)
+{
+    auto state = ledger::create();
+    one_voter_log log(*state);
+    state->apply(++log.index, encode(command {{}, apply_tables {sampleTables(), 0, ""}}));
+    auto leader = coordinator::create(options.control, *state, log,
+                                      [](const auto &) { return std::make_unique<first_fit>(); });
+    time_point now {};
+    leader->becomeLeader(now, wall_ms {0}, 2);
+    sync_request first;
+    first.entryId = "first";
+    first.entryIncarnation = first.viewEpoch = 1;
+    first.announcements = {scene->workers()[0].about};
+    sync_request second = first;
+    second.entryId = "second";
+    second.viewEpoch = 0;
+    const auto call = [&](sync_request &request) {
+        int slots = -1;
+        leader->sync(now, request, [&](const sync_response &response) {
+            request.viewEpoch = response.viewEpoch;
+            request.viewSequence = response.viewSequence;
+            for (const auto &share : response.shares)
+                slots = static_cast<int>(share.slots);
+        });
+        return slots;
+    };
+    while (now < time_point {milliseconds {2000}}) {
+        leader->tick(now, wall_ms {0});
+        LONGS_EQUAL(-1, call(first));
+        LONGS_EQUAL(-1, call(second));
+        now += milliseconds {500};
+    }
+    leader->tick(now, wall_ms {0});
+    LONGS_EQUAL(0, call(second));
+    LONGS_EQUAL(0, call(first));
+    LONGS_EQUAL(0, call(second));
+    LONGS_EQUAL(4, call(first));
+    LONGS_EQUAL(4, call(second));
+}
--- a/packages/control/test/fuzz-test.cc
+++ b/packages/control/test/fuzz-test.cc
@@ -103,7 +103,7 @@
                 scene_.restartWorker(worker);
         }
         run(6000); // leases of earlier leaders and entries end
-        for (int i = 0; i < 180 && !scene_.data().openJobs.empty(); ++i)
+        for (int i = 0; i < 900 && !scene_.data().openJobs.empty(); ++i)
             run(1000);
         for (const auto id : scene_.data().openJobs) {
             const auto &entry = *scene_.data().find(id);
@@ -137,7 +137,7 @@
         options.entries = 2 + random(2);
         options.lossPercent = random(3) * 10;
         options.maxDelay = 1 + random(120);
-        options.runTime = 500 + random(8000);
+        options.runTime = 500 + random(16000); // up to beyond the task lease
         return options;
     }
 
