Count an earlier leader's shares until a list has replaced them

A new leader that knew no upstream yet sent an empty list, which leaves the entry's shares as they are, and took its acknowledgement as proof that they were given back.

Change: only an acknowledged list that is not empty makes an entry's shares known.

--- a/packages/control/src/slot_shares.cc
+++ b/packages/control/src/slot_shares.cc
@@ -52,6 +52,9 @@
     if (target.sentSequence == 0 || request.viewEpoch != shared_.term()
         || request.viewSequence < target.sentSequence)
         return;
+    // An empty list has taken back nothing that an earlier leader gave.
+    if (!target.known && target.sent.empty())
+        return;
     target.held = target.sent;
     std::erase_if(target.held, [](const auto &item) { return item.second == 0; });
     target.known = true;
