--- a/packages/consensus/src/core-leader.cc
+++ b/packages/consensus/src/core-leader.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Unanswered Appends of one peer. Four keep a link with a 24 ms round trip busy and let proposals
-// that arrive meanwhile share a message.
+// that arrive meanwhile share a message. 16 gave lower rates with 64 clients in log-bench.
 constexpr std::size_t maxInFlight = 4;
 constexpr std::size_t maxBatchEntries = 512;
 
