--- a/packages/control/src/slot_shares.cc
+++ b/packages/control/src/slot_shares.cc
@@ -6,9 +6,8 @@
 
 namespace {
 
-// An idle entry keeps its fixed share at one of this many upstreams, so that its first requests
-// need not wait for a sync.
-constexpr std::size_t idleKeep = 4;
+// No upstream has more slots; keeps the arithmetic of an absurd demand in range.
+constexpr std::uint64_t maxWanted = 1U << 20U;
 
 // Spreads names over small numbers (FNV-1a); std::hash may differ between builds.
 std::size_t spread(const std::string &name)
@@ -80,38 +79,52 @@
     return served;
 }
 
-std::uint32_t slot_shares::wanted(const std::string &entryId, const std::string &pool,
-                                  std::size_t upstreams, std::uint32_t slots) const
+std::uint64_t slot_shares::loadOf(const std::string &entryId, const std::string &pool) const
 {
     const auto found = entries_.records().find(entryId);
-    std::uint64_t load = 0;
-    if (found != entries_.records().end())
-        for (const auto &demand : found->second.demand)
-            if (demand.pool == pool)
-                load = std::uint64_t {demand.queued} + demand.inFlight;
-    const auto each = (load + upstreams - 1) / upstreams;
-    return static_cast<std::uint32_t>(std::min<std::uint64_t>(each, slots));
+    if (found == entries_.records().end())
+        return 0;
+    for (const auto &demand : found->second.demand)
+        if (demand.pool == pool)
+            return std::uint64_t {demand.queued} + demand.inFlight;
+    return 0;
 }
 
-void slot_shares::share(const std::string &upstream, const std::string &pool, std::size_t upstreams,
-                        std::uint32_t slots)
+// Spreads the load of each entry over the upstreams; the rest of the division goes to upstreams
+// that differ between the entries. Rounding up at each upstream instead lent almost nothing in
+// slots-bench: 60% of the slots used with skewed callers, against 85%.
+std::vector<std::uint32_t> slot_shares::wantedAt(std::size_t index, const pool_members &served,
+                                                 std::span<const std::uint64_t> loads)
+{
+    const auto upstreams = served.upstreams.size();
+    std::vector<std::uint32_t> want;
+    for (std::size_t position = 0; position < loads.size(); ++position) {
+        const auto offset = position * upstreams / loads.size();
+        const auto rest = loads[position] % upstreams;
+        const auto extra = (index + upstreams - offset) % upstreams < rest ? 1U : 0U;
+        const auto each = loads[position] / upstreams + extra;
+        want.push_back(static_cast<std::uint32_t>(std::min<std::uint64_t>(each, maxWanted)));
+    }
+    return want;
+}
+
+void slot_shares::share(std::size_t index, const pool_members &served, std::uint32_t slots,
+                        std::span<const std::uint64_t> loads)
 {
     const auto count = holders_.size();
+    const auto &upstream = served.upstreams[index].first;
     const auto first = spread(upstream) % count;
     std::vector<std::uint32_t> fixed(count, static_cast<std::uint32_t>(slots / count));
     for (std::size_t i = 0; i < slots % count; ++i)
         ++fixed[(first + i) % count];
-    std::vector<std::uint32_t> want(count);
+    const auto want = wantedAt(index, served, loads);
     std::vector<std::uint32_t> given(count);
     std::uint32_t spare = slots;
-    std::size_t position = 0;
-    for (const auto &[id, target] : holders_) {
-        want[position] = wanted(id, pool, upstreams, slots);
-        const bool keeps = want[position] > 0 || (first + position) % idleKeep == 0;
-        given[position] = std::min(fixed[position], std::max(want[position], keeps ? 1U : 0U));
-        spare -= given[position++];
+    for (std::size_t i = 0; i < count; ++i) {
+        given[i] = std::min(fixed[i], want[i]);
+        spare -= given[i];
     }
-    const auto spend = [&](const std::vector<std::uint32_t> &limit) {
+    const auto spend = [&](std::span<const std::uint32_t> limit) {
         for (bool changed = true; changed && spare > 0;) {
             changed = false;
             for (std::size_t i = 0; i < count && spare > 0; ++i) {
@@ -124,9 +137,13 @@
             }
         }
     };
+    std::vector<std::uint64_t> ahead(loads.begin(), loads.end());
+    for (auto &load : ahead)
+        load += load / 4 + served.upstreams.size() / 10;
     spend(want);
+    spend(wantedAt(index, served, ahead));
     spend(fixed);
-    position = 0;
+    std::size_t position = 0;
     for (auto &[id, target] : holders_)
         target.target[upstream] = given[position++];
 }
@@ -140,10 +157,13 @@
     if (holders_.empty())
         return;
     for (const auto &[name, served] : servedPools()) {
-        for (const auto &[upstream, offered] : served.upstreams) {
-            const auto slots = std::min(served.slots, offered);
-            slots_[upstream] = slots;
-            share(upstream, name, served.upstreams.size(), slots);
+        std::vector<std::uint64_t> loads;
+        for (const auto &[id, target] : holders_)
+            loads.push_back(loadOf(id, name));
+        for (std::size_t index = 0; index < served.upstreams.size(); ++index) {
+            const auto &[upstream, offered] = served.upstreams[index];
+            slots_[upstream] = std::min(served.slots, offered);
+            share(index, served, slots_[upstream], loads);
         }
     }
 }
--- a/packages/control/src/slot_shares.h
+++ b/packages/control/src/slot_shares.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -65,10 +66,11 @@
     };
 
     std::map<std::string, pool_members> servedPools() const;
-    std::uint32_t wanted(const std::string &entryId, const std::string &pool, std::size_t upstreams,
-                         std::uint32_t slots) const;
-    void share(const std::string &upstream, const std::string &pool, std::size_t upstreams,
-               std::uint32_t slots);
+    std::uint64_t loadOf(const std::string &entryId, const std::string &pool) const;
+    static std::vector<std::uint32_t> wantedAt(std::size_t index, const pool_members &served,
+                                               std::span<const std::uint64_t> loads);
+    void share(std::size_t index, const pool_members &served, std::uint32_t slots,
+               std::span<const std::uint64_t> loads);
     const share_map &allowed(holder &target);
     share_map computeAllowed(const holder &target) const;
     void forgetAllowed();
