Create loggers under a lock

Cause: system.requests hung in 2 of 4 runs because the stand-in upstreams had ended with SIGTRAP. gdb shows an exception that left a continuation of the HTTP library: two threads used the log prefix 'http' for the first time at once, and the second registration threw. The entry has the same path. Ruled out: SIGPIPE, the kill of the entry alone (4 runs without a crash). Change: logFor() looks up and registers under a lock.

--- a/packages/base/src/log.cc
+++ b/packages/base/src/log.cc
@@ -2,12 +2,17 @@
 
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <mutex>
 #include <string>
 
 namespace persimmon {
 
 std::shared_ptr<spdlog::logger> logFor(std::string_view part)
 {
+    // Two threads that both find no logger would both register one, and the second registration
+    // throws; in a continuation of the HTTP library that ends the process.
+    static std::mutex mutex;
+    const std::scoped_lock lock(mutex);
     const std::string name(part);
     if (auto existing = spdlog::get(name))
         return existing;
