--- a/packages/base/test/log-test.cc
+++ b/packages/base/test/log-test.cc
@@ -18,6 +18,7 @@
         std::atomic<bool> go = false;
         std::atomic<int> failures = 0;
         std::vector<std::thread> threads;
+        threads.reserve(4);
         for (int i = 0; i < 4; ++i) {
             threads.emplace_back([&] {
                 while (!go) { }
