--- a/packages/apps/src/control_program.cc
+++ b/packages/apps/src/control_program.cc
@@ -22,17 +22,6 @@
 // to three election time-outs of 300 ms.
 constexpr milliseconds handOverLimit {2000};
 
-http::server_options httpOptions(const settings &values)
-{
-    http::server_options options;
-    options.address = values.httpListen;
-    options.threads = values.httpThreads;
-    options.maxHeaderBytes = values.maxHeaderBytes;
-    options.maxBodyBytes = values.maxBodyBytes;
-    options.timeout = values.httpTimeout;
-    return options;
-}
-
 class program final : public control_program
 {
 public:
@@ -127,7 +116,7 @@
         };
         api_ = std::make_unique<operator_api>(*voter_, metrics_, std::move(hooks));
         auto listener = http::server::listen(
-                loop_, httpOptions(values),
+                loop_, http::serverOptions(values),
                 [this](const http::request &request, const http::server::reply &reply) {
                     api_->handle(request, reply);
                 });
--- a/packages/entry/src/entry_program.cc
+++ b/packages/entry/src/entry_program.cc
@@ -99,12 +99,7 @@
 
     status open()
     {
-        http::server_options options;
-        options.address = values_.httpListen;
-        options.threads = values_.httpThreads;
-        options.maxHeaderBytes = values_.maxHeaderBytes;
-        options.maxBodyBytes = values_.maxBodyBytes;
-        options.timeout = values_.httpTimeout;
+        auto options = http::serverOptions(values_);
         options.refusalHeaders = {{"Persimmon-Outcome", "not_run"}};
         auto opened = http::server::listen(
                 loop_, options,
--- a/packages/http/include/http/server.h
+++ b/packages/http/include/http/server.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "base/settings.h"
 #include "wire/event_loop.h"
 
 #include <functional>
@@ -61,6 +62,9 @@
     std::vector<header> refusalHeaders; // added to the listener's own refusals
 };
 
+// Returns the listener's options of a process.
+server_options serverOptions(const settings &values);
+
 // HTTP/1.1 listener. Requests over the limits, with ambiguous framing or with a cut body never
 // reach the handler.
 class server
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -225,6 +225,17 @@
     std::call_once(once, [count] { crossplat::threadpool::initialize_with_threads(count); });
 }
 
+server_options serverOptions(const settings &values)
+{
+    server_options options;
+    options.address = values.httpListen;
+    options.threads = values.httpThreads;
+    options.maxHeaderBytes = values.maxHeaderBytes;
+    options.maxBodyBytes = values.maxBodyBytes;
+    options.timeout = values.httpTimeout;
+    return options;
+}
+
 std::string_view request::find(std::string_view name) const
 {
     const auto matches
