--- a/packages/apps/include/apps/daemon_arguments.h
+++ b/packages/apps/include/apps/daemon_arguments.h
@@ -9,9 +9,12 @@
 
 namespace persimmon::apps {
 
+// What a process of persimmond does. Scheduler and gateway serve the platform's protocol.
+enum class daemon_role : std::uint8_t { Control, Entry, Scheduler, Gateway };
+
 struct daemon_arguments
 {
-    instance_role role = instance_role::Control;
+    daemon_role role = daemon_role::Control;
     std::string settingsFile;
     bool checkSettings = false;
     bool printReference = false;
--- a/packages/apps/include/apps/peer_transport.h
+++ b/packages/apps/include/apps/peer_transport.h
@@ -15,7 +15,14 @@
 class peer_transport final : public consensus::transport
 {
 public:
+    // Returns the address for calls between processes of a node.
+    using address_of = std::function<voter_address(consensus::voter_id)>;
+
     peer_transport(wire::event_loop &loop, const settings &values);
+
+    // Connects to any node that is sent to; addresses follow from the ids. A connection without an
+    // acknowledgement for the silence limit counts as cut.
+    peer_transport(wire::event_loop &loop, address_of addresses, milliseconds silenceLimit);
     ~peer_transport() override;
 
     void send(consensus::voter_id to, consensus::byte_view message) override;
--- a/packages/apps/src/daemon_arguments.cc
+++ b/packages/apps/src/daemon_arguments.cc
@@ -6,6 +6,8 @@
 #include <tclap/CmdLine.h>
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace persimmon::apps {
 
@@ -16,12 +18,25 @@
     return {result_code::UsageError, std::move(detail), std::move(field), {}};
 }
 
+constexpr std::array<std::pair<std::string_view, daemon_role>, 4> roles {{
+        {"control", daemon_role::Control},
+        {"entry", daemon_role::Entry},
+        {"scheduler", daemon_role::Scheduler},
+        {"gateway", daemon_role::Gateway},
+}};
+
+const std::pair<std::string_view, daemon_role> *findRole(std::string_view name)
+{
+    const auto *found = std::ranges::find(roles, name, &decltype(roles)::value_type::first);
+    return found == roles.end() ? nullptr : found;
+}
+
 status checkCombination(const daemon_arguments &values, const std::string &role)
 {
     if (values.printReference || values.printCodes)
         return std::monostate {};
-    if (role != "control" && role != "entry")
-        return usageError("one of control, entry", "role");
+    if (findRole(role) == nullptr)
+        return usageError("one of control, entry, scheduler, gateway", "role");
     if (values.settingsFile.empty())
         return usageError("a file name", "settings");
     return std::monostate {};
@@ -41,11 +56,11 @@
 
 result<std::optional<daemon_arguments>> readDaemonArguments(std::span<const std::string> arguments)
 {
-    TCLAP::CmdLine line("Scheduler and request proxy, control or entry role", ' ',
+    TCLAP::CmdLine line("Scheduler and request proxy", ' ',
                         std::string(programVersion));
     line.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> role("", "role", "role of this process", false, "",
-                                      "control|entry", line);
+                                      "control|entry|scheduler|gateway", line);
     TCLAP::ValueArg<std::string> file("", "settings", "settings file", false, "", "FILE", line);
     TCLAP::SwitchArg check("", "check-settings", "list all mistakes of the settings and exit",
                            line);
@@ -62,7 +77,8 @@
         return std::nullopt;
     }
     daemon_arguments values;
-    values.role = role.getValue() == "entry" ? instance_role::Entry : instance_role::Control;
+    if (const auto *known = findRole(role.getValue()); known != nullptr)
+        values.role = known->second;
     values.settingsFile = file.getValue();
     values.checkSettings = check.getValue();
     values.printReference = reference.getValue();
--- a/packages/apps/src/data_folder.cc
+++ b/packages/apps/src/data_folder.cc
@@ -5,6 +5,7 @@
 
 #include <cerrno>
 #include <filesystem>
+#include <limits>
 #include <sstream>
 #include <system_error>
 
@@ -15,6 +16,9 @@
 
 namespace {
 
+// Content of the file of an instance that joined a running group.
+const std::string noVoters = "none\n";
+
 error storageError(const std::string &what, int code)
 {
     return {result_code::StorageFailed, what + ": " + std::system_category().message(code), {}, {}};
@@ -51,9 +55,11 @@
 result<std::vector<std::uint32_t>> parse(const std::string &path, const std::string &text)
 {
     std::vector<std::uint32_t> voters;
+    if (text == noVoters)
+        return voters;
     std::istringstream words(text);
     for (std::string word; words >> word;) {
-        const auto id = parseNumber(word, 1, 1000);
+        const auto id = parseNumber(word, 1, std::numeric_limits<std::uint32_t>::max());
         if (failed(id))
             return error {result_code::CorruptFile, path + " is damaged", {}, {}};
         voters.push_back(static_cast<std::uint32_t>(valueOf(id)));
@@ -79,7 +85,7 @@
             return errorOf(text);
         return parse(path, valueOf(text));
     }
-    std::string text;
+    std::string text = configured.empty() ? noVoters : "";
     for (const auto id : configured)
         text += std::to_string(id) + "\n";
     if (auto stored = store(folder, path, text); failed(stored))
--- a/packages/apps/src/peer_transport.cc
+++ b/packages/apps/src/peer_transport.cc
@@ -24,7 +24,7 @@
 
 // Without an acknowledgement for this time the connection counts as cut; a silent partition gives
 // no other sign.
-constexpr milliseconds silenceLimit {2000};
+constexpr milliseconds defaultSilenceLimit {2000};
 
 constexpr milliseconds connectTimeout {1000};
 constexpr milliseconds firstBackoff {50};
@@ -87,14 +87,26 @@
         }
     }
 
+    implementation(event_loop &loop, address_of addresses, milliseconds silenceLimit)
+        : loop_(loop)
+        , addresses_(std::move(addresses))
+        , silenceLimit_(silenceLimit)
+        , tasks_(failureLog_)
+    {
+    }
+
     void send(consensus::voter_id to, consensus::byte_view message)
     {
-        const auto found = peers_.find(to);
+        auto found = peers_.find(to);
+        if (found == peers_.end() && addresses_) {
+            found = peers_.try_emplace(to).first;
+            found->second.address = addresses_(to);
+        }
         if (found == peers_.end())
             return;
         auto &target = found->second;
         const auto now = loop_.now();
-        if (target.unacknowledged > 0 && now - target.lastProgress > silenceLimit)
+        if (target.unacknowledged > 0 && now - target.lastProgress > silenceLimit_)
             lose(target, "no acknowledgement");
         if (target.open == nullptr) {
             keep(target, message);
@@ -229,6 +241,8 @@
     }
 
     event_loop &loop_;
+    address_of addresses_;
+    milliseconds silenceLimit_ = defaultSilenceLimit;
     std::map<consensus::voter_id, peer> peers_;
     std::uint64_t dropped_ = 0;
     failure_log failureLog_;
@@ -240,6 +254,12 @@
 {
 }
 
+peer_transport::peer_transport(wire::event_loop &loop, address_of addresses,
+                               milliseconds silenceLimit)
+    : implementation_(std::make_unique<implementation>(loop, std::move(addresses), silenceLimit))
+{
+}
+
 peer_transport::~peer_transport() = default;
 
 void peer_transport::send(consensus::voter_id to, consensus::byte_view message)
--- /dev/null
+++ b/packages/batch/include/batch/controller.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "base/clock.h"
+#include "batch/ledger.h"
+#include "batch/scheduler.h"
+#include "batch/worker.h"
+
+#include <deque>
+#include <memory>
+#include <functional>
+#include <set>
+
+namespace persimmon::batch {
+
+struct controller_options
+{
+    milliseconds lease {5000}; // of what a worker runs
+    milliseconds retry {250}; // between heartbeats of a worker without work to do
+    milliseconds busyRetry {100}; // while orders or waiting tasks are expected
+    milliseconds checkpointEvery {1000}; // work between two checkpoints
+    milliseconds stallLimit {2500}; // a run without progress for this time is moved
+    milliseconds quarantine {6000}; // of a worker that failed two jobs in a row
+    milliseconds keepEnded {300000}; // jobs are known for this time after their end
+    milliseconds leaderLease {1000}; // an earlier leader may still have extended leases
+};
+
+// Replicates a command; the callback runs after it is applied or has failed.
+using propose_function = std::function<void(const command &, std::function<void(status)>)>;
+
+// Leader's side of the workers: takes their reports, orders starts and stops, and notices lost
+// workers. All orders follow from the ledger; a new leader needs no handover. All calls belong to
+// one thread.
+class controller
+{
+public:
+    using orders_callback = std::function<void(result<worker_orders>)>;
+
+    controller(const ledger &state, controller_options options, propose_function propose);
+
+    // Starts to lead in a term. Everything known of workers is dropped, because reports may have
+    // gone to another leader.
+    void beginTerm(std::uint64_t term, time_point now);
+
+    // Stops to lead: heartbeats fail with NotLeader.
+    void endTerm();
+
+    bool leading() const { return term_ != 0; }
+
+    // Takes one heartbeat. The answer comes after the reported ends are durable. Fails with
+    // NotLeader, or the error of the commit.
+    void heartbeat(time_point now, std::int64_t wallMs, const worker_report &report,
+                   orders_callback done);
+
+    // Takes the farewell of a worker that has left.
+    void leave(time_point now, const std::string &worker);
+
+    // Notices expired leases and stalled runs, and schedules. Call it every 20 ms.
+    void tick(time_point now, std::int64_t wallMs);
+
+    // Schedules in the next tick instead of after the usual pause.
+    void wake() { dirty_ = true; }
+
+    std::size_t workerCount() const { return workers_.size(); }
+
+private:
+    struct run_watch
+    {
+        std::uint32_t run = 0;
+        time_point started {};
+        time_point moved {}; // when the percent last changed
+        std::uint32_t percent = 0;
+        std::string saved;
+    };
+
+    struct worker_state
+    {
+        worker_report report;
+        time_point firstHeard {};
+        time_point heard {};
+        time_point closedUntil {}; // quarantined
+        std::set<std::string> failedJobs; // since the last success
+        bool everDone = false;
+        std::optional<time_point> left;
+        std::map<task_id, run_watch> runs;
+    };
+
+    using run_key = std::pair<task_id, std::uint32_t>;
+
+    bool isStale(const worker_state &known, const worker_report &report) const;
+    std::vector<run_end> readEnds(worker_state &known, time_point now);
+    void noteRunning(worker_state &known, time_point now);
+    void noteMissing(const worker_state &known, time_point now, std::vector<run_end> &ends) const;
+    void noteEnd(worker_state &known, const ended_task &row, time_point now);
+    worker_orders ordersFor(const worker_state &known) const;
+    void addStarts(const worker_state &known, worker_orders &orders) const;
+    bool shouldStop(const worker_state &known, const task_id &task, std::uint32_t run) const;
+    void commitEnds(std::vector<run_end> ends, std::int64_t wallMs,
+                    std::function<void(status)> done);
+    void expireLeases(time_point now, std::int64_t wallMs);
+    void findStalled(time_point now);
+    void stopDraining(const worker_state &known);
+    void schedule(time_point now, std::int64_t wallMs);
+    void proposeStarts(std::vector<assignment> runs);
+    void forgetOld(std::int64_t wallMs);
+    std::vector<worker_view> viewWorkers(time_point now) const;
+
+    const ledger &state_;
+    controller_options options_;
+    propose_function propose_;
+    scheduler scheduler_;
+    std::uint64_t term_ = 0; // 0: not leading
+    time_point since_ {};
+    std::map<std::string, worker_state> workers_;
+    std::set<run_key> stopping_; // runs ordered to stop to make room or to move them
+    std::set<task_id> ending_; // ends of lost workers that are being committed
+    bool dirty_ = false;
+    bool committing_ = false; // starts are being committed
+    bool undecided_ = false; // a failed commit may still take effect
+    bool waiting_ = false; // tasks wait for a worker
+    time_point nextPass_ {};
+    std::int64_t lastForgetMs_ = 0;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace persimmon::batch
--- /dev/null
+++ b/packages/batch/include/batch/ledger.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include "batch/model.h"
+#include "consensus/state_machine.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <variant>
+
+namespace persimmon::batch {
+
+// Run of a task on a worker, ordered by a leader.
+struct assignment
+{
+    task_id task;
+    std::uint32_t run = 0;
+    std::string worker;
+    std::int64_t born = 0; // incarnation of the worker
+
+    friend bool operator==(const assignment &, const assignment &) = default;
+};
+
+struct run_end
+{
+    task_id task;
+    std::uint32_t run = 0;
+    end_kind kind = end_kind::Done;
+    std::string saved; // newest checkpoint, may be empty
+
+    friend bool operator==(const run_end &, const run_end &) = default;
+};
+
+// Commands of the replicated ledger.
+struct set_configuration
+{
+    configuration value;
+};
+struct accept_job
+{
+    std::string id;
+    std::string tenant;
+    queue source; // as configured when the job was accepted
+    job_spec spec;
+    std::int64_t wallMs = 0;
+};
+struct cancel_job
+{
+    std::string id;
+    std::int64_t wallMs = 0;
+};
+struct start_runs
+{
+    std::vector<assignment> runs;
+};
+struct end_runs
+{
+    std::vector<run_end> ends;
+    std::int64_t wallMs = 0;
+};
+// Drops jobs that ended earlier.
+struct forget_jobs
+{
+    std::int64_t endedBeforeMs = 0;
+};
+// Has no effect; once it is applied, all earlier proposals are decided.
+struct no_op
+{
+};
+
+using command = std::variant<no_op, set_configuration, accept_job, cancel_job, start_runs,
+                             end_runs, forget_jobs>;
+
+struct task_state
+{
+    bool done = false;
+    bool active = false; // a run is ordered and its end is not known yet
+    std::uint32_t run = 0; // number of the newest run
+    std::uint32_t failures = 0;
+    std::string worker; // of the newest run
+    std::int64_t born = 0;
+    std::string saved;
+    std::string failedOn; // worker of the newest failed run
+};
+
+struct step_state
+{
+    std::vector<task_state> tasks;
+    std::uint32_t doneCount = 0;
+    std::uint32_t activeCount = 0;
+    std::uint32_t failedRuns = 0; // of a gang
+    std::uint32_t lastFailedRun = 0;
+    bool begun = false;
+
+    bool done() const { return doneCount == tasks.size(); }
+};
+
+struct job_record
+{
+    std::string id;
+    std::string tenant;
+    queue source;
+    job_spec spec;
+    std::int64_t acceptedMs = 0;
+    std::int64_t endedMs = 0; // 0: not ended
+    job_state state = job_state::Queued;
+    std::vector<std::vector<step_state>> occurrences; // [occurrence][step]
+
+    bool ended() const { return endedMs != 0; }
+    const step_state &stepOf(const task_id &task) const
+    {
+        return occurrences[task.occurrence][task.step];
+    }
+    const task_state &taskOf(const task_id &task) const { return stepOf(task).tasks[task.index]; }
+
+    // Estimated time of the longest chain of steps, in milliseconds.
+    std::int64_t chainMs() const;
+
+    // Time from acceptance to the objective, in milliseconds.
+    std::int64_t objectiveMs() const;
+};
+
+// Replicated state: the configuration, all jobs, and which run is where.
+class ledger : public consensus::state_machine
+{
+public:
+    ledger();
+    ~ledger() override;
+
+    consensus::byte_buffer apply(consensus::log_index index, consensus::byte_view command) override;
+    consensus::byte_buffer snapshot() const override;
+    status restore(consensus::byte_view snapshot) override;
+
+    void apply(const command &value);
+
+    const configuration &currentConfiguration() const { return configuration_; }
+    const job_record *findJob(const std::string &id) const;
+
+    // Calls back for each job that has not ended or still has active runs.
+    void forEachOpenJob(const std::function<void(const job_record &)> &visit) const;
+
+    // Returns the active runs of a worker's incarnations, by worker.
+    const std::map<task_id, assignment> &runsOn(const std::string &worker) const;
+
+    // Returns all workers with active runs.
+    std::vector<std::string> busyWorkers() const;
+
+    // Returns the number of jobs of a queue that no run was ordered for.
+    std::size_t waitingJobs(std::string_view queueName) const;
+
+    std::size_t jobCount() const { return jobs_.size(); }
+
+private:
+    void handle(const no_op &) { }
+    void handle(const set_configuration &input);
+    void handle(const accept_job &input);
+    void handle(const cancel_job &input);
+    void handle(const start_runs &input);
+    void handle(const end_runs &input);
+    void handle(const forget_jobs &input);
+
+    void start(const assignment &run);
+    void end(const run_end &value, std::int64_t wallMs);
+    void finishTask(job_record &job, const task_id &id, std::int64_t wallMs);
+    static bool countFailure(const job_record &job, const step_spec &spec, step_state &step,
+                             task_state &task);
+    void closeJob(job_record &job, job_state state, std::int64_t wallMs);
+    void rebuildIndexes();
+    task_state *findTask(const task_id &id);
+
+    configuration configuration_;
+    std::map<std::string, job_record> jobs_;
+
+    // Derived from the jobs.
+    std::map<std::string, std::map<task_id, assignment>> runs_;
+    std::map<std::string, std::size_t> activeRuns_; // by job
+    std::set<std::string> open_; // jobs that are not ended or have active runs
+};
+
+// Encodes a command for the log.
+consensus::byte_buffer encode(const command &value);
+
+// Fails with CorruptFile.
+result<command> decodeCommand(consensus::byte_view bytes);
+
+} // namespace persimmon::batch
--- /dev/null
+++ b/packages/batch/src/controller-tick.cc
@@ -0,0 +1,221 @@
+#include "base/event_log.h"
+#include "batch/controller.h"
+
+#include <algorithm>
+
+namespace persimmon::batch {
+
+namespace {
+
+constexpr milliseconds passPeriod {100};
+
+// Clocks of workers may be this much slower than ours.
+constexpr double clockDrift = 1.02;
+
+constexpr milliseconds leaseMargin {200};
+
+// A worker that said farewell counts as gone after this time without a heartbeat.
+constexpr milliseconds leaveDelay {1500};
+
+// Without a heartbeat for this time a worker takes no new tasks.
+constexpr milliseconds silentAfter {2600};
+
+constexpr std::int64_t forgetPeriodMs = 10000;
+
+} // namespace
+
+void controller::tick(time_point now, std::int64_t wallMs)
+{
+    if (term_ == 0)
+        return;
+    if (now < nextPass_ && !dirty_)
+        return;
+    nextPass_ = now + passPeriod;
+    dirty_ = false;
+    expireLeases(now, wallMs);
+    findStalled(now);
+    schedule(now, wallMs);
+    forgetOld(wallMs);
+}
+
+void controller::expireLeases(time_point now, std::int64_t wallMs)
+{
+    const auto lease = milliseconds {
+            static_cast<std::int64_t>(static_cast<double>(options_.lease.count()) * clockDrift)};
+    std::vector<run_end> ends;
+    for (const auto &worker : state_.busyWorkers()) {
+        const auto found = workers_.find(worker);
+        const bool known = found != workers_.end();
+        const bool gone = known && found->second.left && *found->second.left + leaveDelay < now;
+        const auto heard = known ? found->second.heard : since_ + options_.leaderLease;
+        if (!gone && heard + lease + leaseMargin > now)
+            continue;
+        for (const auto &[task, run] : state_.runsOn(worker)) {
+            if (!ending_.insert(task).second)
+                continue;
+            std::string saved;
+            if (known && found->second.runs.contains(task))
+                saved = found->second.runs.at(task).saved;
+            ends.push_back({task, run.run, gone ? end_kind::Lost : end_kind::Lapsed, saved});
+            logEvent("task.ended",
+                     {{"job", task.job},
+                      {"run", run.run},
+                      {"worker", worker},
+                      {"how", toName(ends.back().kind)},
+                      {"silent_ms", std::chrono::duration_cast<milliseconds>(now - heard).count()},
+                      {"outcome", "inferred"}});
+        }
+    }
+    if (ends.empty())
+        return;
+    std::vector<task_id> tasks;
+    for (const auto &end : ends)
+        tasks.push_back(end.task);
+    commitEnds(std::move(ends), wallMs,
+               [this, tasks, alive = std::weak_ptr<int>(alive_)](const status &) {
+                   if (alive.expired())
+                       return;
+                   for (const auto &task : tasks)
+                       ending_.erase(task);
+               });
+}
+
+void controller::findStalled(time_point now)
+{
+    for (auto &[id, known] : workers_) {
+        if (now - known.heard > options_.stallLimit / 2)
+            continue;
+        for (auto &[task, watch] : known.runs) {
+            if (watch.percent >= 100 || now - watch.moved < options_.stallLimit)
+                continue;
+            const auto *job = state_.findJob(task.job);
+            if (job == nullptr || job->ended() || job->taskOf(task).done)
+                continue;
+            const auto &spec = job->spec.steps[task.step];
+            // A gang waits for its members; long-running tasks stay at their percent.
+            if (spec.longRunning || (spec.gang && watch.percent == 0 && spec.count > 1))
+                continue;
+            if (!stopping_.insert({task, watch.run}).second)
+                continue;
+            known.closedUntil = now + options_.quarantine;
+            logEvent("task.moved",
+                     {{"job", task.job},
+                      {"step", task.step},
+                      {"index", task.index},
+                      {"worker", id},
+                      {"why", "stalled"},
+                      {"percent", watch.percent},
+                      {"stalled_ms",
+                       std::chrono::duration_cast<milliseconds>(now - watch.moved).count()}});
+        }
+    }
+}
+
+std::vector<worker_view> controller::viewWorkers(time_point now) const
+{
+    std::vector<worker_view> views;
+    std::size_t closed = 0;
+    for (const auto &[id, known] : workers_) {
+        const bool silent = now - known.heard > silentAfter;
+        worker_view view;
+        view.id = id;
+        view.born = known.report.born;
+        view.pool = known.report.pool;
+        view.rack = known.report.rack;
+        view.labels = known.report.labels;
+        view.capacity = known.report.capacity;
+        const bool quarantined = known.closedUntil > now;
+        closed += quarantined ? 1 : 0;
+        view.penalty = quarantined ? 3 : static_cast<int>(std::min<std::size_t>(
+                                                 2, known.failedJobs.size()));
+        view.trusted = known.failedJobs.empty() && !quarantined;
+        view.open = !silent && !known.report.draining && !known.left && !quarantined;
+        views.push_back(std::move(view));
+    }
+    // With most workers in quarantine the cause is not theirs.
+    if (closed * 2 > views.size()) {
+        for (auto &view : views) {
+            const auto &known = workers_.at(view.id);
+            view.open = now - known.heard <= silentAfter && !known.report.draining && !known.left;
+            view.trusted = true;
+        }
+    }
+    return views;
+}
+
+void controller::schedule(time_point now, std::int64_t wallMs)
+{
+    if (committing_)
+        return;
+    if (undecided_) {
+        committing_ = true;
+        propose_(no_op {}, [this, alive = std::weak_ptr<int>(alive_)](const status &done) {
+            if (alive.expired())
+                return;
+            committing_ = false;
+            undecided_ = failed(done);
+            dirty_ = true;
+        });
+        return;
+    }
+    std::map<task_id, run_progress> progress;
+    for (const auto &[id, known] : workers_) {
+        for (const auto &[task, watch] : known.runs)
+            progress[task] = {watch.started, watch.percent};
+    }
+    schedule_input input;
+    input.state = &state_;
+    input.workers = viewWorkers(now);
+    input.progress = &progress;
+    input.stopping = &stopping_;
+    input.now = now;
+    input.wallMs = wallMs;
+    input.checkpointMs = options_.checkpointEvery.count();
+    auto output = scheduler_.plan(input);
+    waiting_ = output.waiting > 0;
+    for (const auto &run : output.preemptions) {
+        stopping_.insert({run.task, run.run});
+        logEvent("task.preempted", {{"job", run.task.job},
+                                    {"step", run.task.step},
+                                    {"index", run.task.index},
+                                    {"run", run.run},
+                                    {"worker", run.worker}});
+    }
+    // Stops whose runs have ended are not needed any more.
+    std::erase_if(stopping_, [this](const run_key &key) {
+        const auto *job = state_.findJob(key.first.job);
+        return job == nullptr || !job->taskOf(key.first).active
+                || job->taskOf(key.first).run != key.second;
+    });
+    if (!output.starts.empty())
+        proposeStarts(std::move(output.starts));
+}
+
+void controller::proposeStarts(std::vector<assignment> runs)
+{
+    for (const auto &run : runs)
+        logEvent("task.placed", {{"job", run.task.job},
+                                 {"step", run.task.step},
+                                 {"index", run.task.index},
+                                 {"run", run.run},
+                                 {"worker", run.worker}});
+    committing_ = true;
+    propose_(start_runs {std::move(runs)},
+             [this, alive = std::weak_ptr<int>(alive_)](const status &done) {
+                 if (alive.expired())
+                     return;
+                 committing_ = false;
+                 undecided_ = failed(done);
+                 dirty_ = true;
+             });
+}
+
+void controller::forgetOld(std::int64_t wallMs)
+{
+    if (wallMs < lastForgetMs_ + forgetPeriodMs && wallMs > lastForgetMs_ - forgetPeriodMs)
+        return;
+    lastForgetMs_ = wallMs;
+    propose_(forget_jobs {wallMs - options_.keepEnded.count()}, [](const status &) {});
+}
+
+} // namespace persimmon::batch
--- /dev/null
+++ b/packages/batch/src/controller.cc
@@ -0,0 +1,305 @@
+#include "batch/controller.h"
+
+#include "base/event_log.h"
+
+#include <algorithm>
+
+namespace persimmon::batch {
+
+namespace {
+
+// Answers to heartbeats that take longer than this are dropped by the worker, so orders of an
+// earlier leader have no effect any more.
+constexpr milliseconds answerLimit {1200};
+
+constexpr std::size_t quarantineAfterJobs = 2;
+
+std::string nameOf(const task_id &task)
+{
+    return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
+            + std::to_string(task.index);
+}
+
+} // namespace
+
+controller::controller(const ledger &state, controller_options options, propose_function propose)
+    : state_(state)
+    , options_(options)
+    , propose_(std::move(propose))
+{
+}
+
+void controller::beginTerm(std::uint64_t term, time_point now)
+{
+    term_ = term;
+    since_ = now;
+    workers_.clear();
+    stopping_.clear();
+    ending_.clear();
+    scheduler_.reset();
+    committing_ = false;
+    undecided_ = false;
+    alive_ = std::make_shared<int>(0);
+    dirty_ = true;
+    logEvent("leader.begin", {{"term", term}, {"jobs", state_.jobCount()}});
+}
+
+void controller::endTerm()
+{
+    if (term_ != 0)
+        logEvent("leader.end", {{"term", term_}});
+    term_ = 0;
+    workers_.clear();
+    alive_ = std::make_shared<int>(0);
+}
+
+bool controller::isStale(const worker_state &known, const worker_report &report) const
+{
+    return std::pair(report.born, report.sequence)
+            <= std::pair(known.report.born, known.report.sequence);
+}
+
+void controller::heartbeat(time_point now, std::int64_t wallMs, const worker_report &report,
+                           orders_callback done)
+{
+    if (term_ == 0)
+        return done(error {result_code::NotLeader, "not the leader", {}, {}});
+    const auto found = workers_.find(report.id);
+    if (found != workers_.end() && isStale(found->second, report)) {
+        logEvent("worker.stale_heartbeat",
+                 {{"worker", report.id}, {"born", report.born}, {"sequence", report.sequence}});
+        return done(worker_orders {});
+    }
+    auto &known = workers_[report.id];
+    const bool reborn = known.report.born != report.born;
+    if (reborn) {
+        if (known.report.born == 0 || known.report.draining != report.draining)
+            dirty_ = true;
+        logEvent("worker.joined", {{"worker", report.id},
+                                   {"born", report.born},
+                                   {"earlier_born", known.report.born},
+                                   {"rack", report.rack}});
+        known = {};
+        known.firstHeard = now;
+    } else if (report.draining && !known.report.draining) {
+        logEvent("worker.draining", {{"worker", report.id}, {"born", report.born}});
+    }
+    known.report = report;
+    known.heard = now;
+    known.left.reset();
+    noteRunning(known, now);
+    auto ends = readEnds(known, now);
+    noteMissing(known, now, ends);
+    if (report.draining)
+        stopDraining(known);
+    std::optional<std::uint64_t> seen;
+    if (!report.ended.empty())
+        seen = std::ranges::max(report.ended, {}, &ended_task::number).number;
+    const auto answer = [this, id = report.id, seen, done,
+                         alive = std::weak_ptr<int>(alive_)](const status &committed) {
+        if (failed(committed))
+            return done(errorOf(committed));
+        const auto current = workers_.find(id);
+        if (alive.expired() || current == workers_.end())
+            return done(error {result_code::NotLeader, "leadership ended", {}, {}});
+        auto orders = ordersFor(current->second);
+        orders.seenUpTo = seen;
+        done(std::move(orders));
+    };
+    if (ends.empty())
+        return answer(std::monostate {});
+    commitEnds(std::move(ends), wallMs, answer);
+}
+
+void controller::leave(time_point now, const std::string &worker)
+{
+    const auto found = workers_.find(worker);
+    if (found == workers_.end())
+        return;
+    logEvent("worker.left", {{"worker", worker}, {"born", found->second.report.born}});
+    found->second.left = now;
+}
+
+void controller::noteRunning(worker_state &known, time_point now)
+{
+    std::map<task_id, run_watch> kept;
+    for (const auto &row : known.report.running) {
+        auto &watch = kept[row.task];
+        const auto earlier = known.runs.find(row.task);
+        if (earlier != known.runs.end() && earlier->second.run == row.run)
+            watch = earlier->second;
+        else
+            watch = {row.run, now, now, 0, {}};
+        if (watch.percent != row.percent) {
+            watch.percent = row.percent;
+            watch.moved = now;
+        }
+        if (!row.saved.empty())
+            watch.saved = row.saved;
+    }
+    known.runs = std::move(kept);
+}
+
+// Returns the reported ends that the ledger doesn't know yet.
+std::vector<run_end> controller::readEnds(worker_state &known, time_point now)
+{
+    std::vector<run_end> ends;
+    const auto &runs = state_.runsOn(known.report.id);
+    for (const auto &row : known.report.ended) {
+        const auto found = runs.find(row.task);
+        if (found == runs.end() || found->second.run != row.run
+            || found->second.born != known.report.born)
+            continue;
+        ends.push_back({row.task, row.run, row.kind, row.saved});
+        noteEnd(known, row, now);
+    }
+    return ends;
+}
+
+void controller::noteEnd(worker_state &known, const ended_task &row, time_point now)
+{
+    stopping_.erase({row.task, row.run});
+    logEvent("task.ended", {{"job", row.task.job},
+                            {"task", nameOf(row.task)},
+                            {"run", row.run},
+                            {"worker", known.report.id},
+                            {"how", toName(row.kind)},
+                            {"outcome", "reported"}});
+    if (row.kind == end_kind::Done) {
+        known.failedJobs.clear();
+        known.everDone = true;
+        return;
+    }
+    if (row.kind != end_kind::Failed)
+        return;
+    known.failedJobs.insert(row.task.job);
+    if (known.failedJobs.size() < quarantineAfterJobs)
+        return;
+    known.closedUntil = now + options_.quarantine;
+    logEvent("worker.quarantined", {{"worker", known.report.id},
+                                    {"failed_jobs", known.failedJobs.size()},
+                                    {"for_ms", options_.quarantine.count()}});
+}
+
+// Runs that the ledger has on the worker but the worker doesn't list. A heartbeat is sent after the
+// answer to the one before was taken or dropped, so what isn't listed was never started.
+void controller::noteMissing(const worker_state &known, time_point now,
+                             std::vector<run_end> &ends) const
+{
+    const auto &report = known.report;
+    for (const auto &[task, run] : state_.runsOn(report.id)) {
+        if (run.born < report.born) {
+            ends.push_back({task, run.run, end_kind::Lost, {}});
+            continue;
+        }
+        if (run.born > report.born)
+            continue;
+        const auto running = known.runs.find(task);
+        if (running != known.runs.end() && running->second.run == run.run)
+            continue;
+        const bool reported = std::ranges::any_of(
+                ends, [&](const run_end &end) { return end.task == task && end.run == run.run; });
+        // Late heartbeats from before this leader's time may lack runs; hence the wait.
+        if (!reported && now - known.firstHeard > answerLimit && shouldStop(known, task, run.run))
+            ends.push_back({task, run.run, end_kind::NotStarted, {}});
+    }
+}
+
+void controller::commitEnds(std::vector<run_end> ends, std::int64_t wallMs,
+                            std::function<void(status)> done)
+{
+    propose_(end_runs {std::move(ends), wallMs},
+             [this, done = std::move(done), alive = std::weak_ptr<int>(alive_)](
+                     const status &committed) {
+                 if (!alive.expired())
+                     dirty_ = true;
+                 done(committed);
+             });
+}
+
+bool controller::shouldStop(const worker_state &known, const task_id &task,
+                            std::uint32_t run) const
+{
+    const auto *job = state_.findJob(task.job);
+    if (job == nullptr || job->ended())
+        return true;
+    return stopping_.contains({task, run}) || known.report.draining;
+}
+
+worker_orders controller::ordersFor(const worker_state &known) const
+{
+    worker_orders orders;
+    orders.leaseMs = options_.lease.count();
+    orders.fencingToken = term_;
+    const auto &runs = state_.runsOn(known.report.id);
+    for (const auto &row : known.report.running) {
+        const auto found = runs.find(row.task);
+        const bool ours = found != runs.end() && found->second.run == row.run
+                && found->second.born == known.report.born;
+        const auto *job = state_.findJob(row.task.job);
+        const bool unwanted = job == nullptr || job->ended()
+                || stopping_.contains({row.task, row.run});
+        // A gang whose end is durable ends on its other workers by itself.
+        if (!ours || (unwanted && !(job != nullptr && job->state == job_state::Done)))
+            orders.stops.push_back({row.task, row.run});
+    }
+    addStarts(known, orders);
+    const bool busy = waiting_ || committing_ || !orders.starts.empty() || !orders.stops.empty();
+    orders.retryMs = (busy ? options_.busyRetry : options_.retry).count();
+    return orders;
+}
+
+void controller::addStarts(const worker_state &known, worker_orders &orders) const
+{
+    for (const auto &[task, run] : state_.runsOn(known.report.id)) {
+        if (run.born != known.report.born)
+            continue;
+        const auto running = known.runs.find(task);
+        if (running != known.runs.end() && running->second.run == run.run)
+            continue;
+        if (shouldStop(known, task, run.run))
+            continue;
+        const bool ended = std::ranges::any_of(known.report.ended, [&](const ended_task &row) {
+            return row.task == task && row.run == run.run;
+        });
+        if (ended)
+            continue;
+        const auto &job = *state_.findJob(task.job);
+        const auto &step = job.stepOf(task);
+        // All members of a gang resume from the same checkpoint.
+        std::string saved = job.taskOf(task).saved;
+        if (job.spec.steps[task.step].gang) {
+            saved.clear();
+            for (const auto &member : step.tasks)
+                saved = std::max(saved, member.saved);
+        }
+        orders.starts.push_back({task, run.run, job.spec.payload, std::move(saved)});
+        logEvent("task.start_sent", {{"job", task.job},
+                                     {"task", nameOf(task)},
+                                     {"run", run.run},
+                                     {"worker", known.report.id},
+                                     {"token", term_}});
+    }
+}
+
+// Tasks that can't end before a draining worker leaves are moved at once.
+void controller::stopDraining(const worker_state &known)
+{
+    if (!known.report.remainingMs)
+        return;
+    for (const auto &[task, watch] : known.runs) {
+        const auto *job = state_.findJob(task.job);
+        if (job == nullptr || job->ended())
+            continue;
+        const auto left = static_cast<std::int64_t>(job->spec.steps[task.step].estimateMs)
+                * (100 - std::min(100U, watch.percent)) / 100;
+        if (left > *known.report.remainingMs && stopping_.insert({task, watch.run}).second)
+            logEvent("task.moved", {{"task", nameOf(task)},
+                                    {"job", task.job},
+                                    {"worker", known.report.id},
+                                    {"why", "draining"},
+                                    {"left_ms", left}});
+    }
+}
+
+} // namespace persimmon::batch
--- /dev/null
+++ b/packages/batch/src/ledger.cc
@@ -0,0 +1,264 @@
+#include "batch/ledger.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace persimmon::batch {
+
+std::int64_t job_record::chainMs() const
+{
+    std::vector<std::int64_t> ends;
+    std::int64_t longest = 0;
+    for (const auto &step : spec.steps) {
+        std::int64_t begin = 0;
+        for (const auto earlier : step.dependsOn)
+            begin = std::max(begin, ends[earlier]);
+        ends.push_back(begin + step.estimateMs);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+std::int64_t job_record::objectiveMs() const
+{
+    return static_cast<std::int64_t>(source.slackFactor * static_cast<double>(chainMs()))
+            + source.objectiveMs;
+}
+
+ledger::ledger() = default;
+ledger::~ledger() = default;
+
+consensus::byte_buffer ledger::apply(consensus::log_index index, consensus::byte_view bytes)
+{
+    const auto decoded = decodeCommand(bytes);
+    if (failed(decoded)) {
+        logFor("ledger")->error("entry {} can't be read: {}", index, errorOf(decoded).detail);
+        return {};
+    }
+    apply(valueOf(decoded));
+    return {};
+}
+
+void ledger::apply(const command &value)
+{
+    std::visit([this](const auto &input) { handle(input); }, value);
+}
+
+const job_record *ledger::findJob(const std::string &id) const
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+void ledger::forEachOpenJob(const std::function<void(const job_record &)> &visit) const
+{
+    for (const auto &id : open_)
+        visit(jobs_.at(id));
+}
+
+const std::map<task_id, assignment> &ledger::runsOn(const std::string &worker) const
+{
+    static const std::map<task_id, assignment> none;
+    const auto found = runs_.find(worker);
+    return found == runs_.end() ? none : found->second;
+}
+
+std::vector<std::string> ledger::busyWorkers() const
+{
+    std::vector<std::string> names;
+    for (const auto &[worker, runs] : runs_) {
+        if (!runs.empty())
+            names.push_back(worker);
+    }
+    return names;
+}
+
+std::size_t ledger::waitingJobs(std::string_view queueName) const
+{
+    std::size_t count = 0;
+    for (const auto &id : open_) {
+        const auto &job = jobs_.at(id);
+        if (job.source.name == queueName && job.state == job_state::Queued)
+            ++count;
+    }
+    return count;
+}
+
+void ledger::handle(const set_configuration &input)
+{
+    if (input.value.version > configuration_.version)
+        configuration_ = input.value;
+}
+
+void ledger::handle(const accept_job &input)
+{
+    if (jobs_.contains(input.id))
+        return;
+    job_record job;
+    job.id = input.id;
+    job.tenant = input.tenant;
+    job.source = input.source;
+    job.spec = input.spec;
+    job.acceptedMs = input.wallMs;
+    std::vector<step_state> steps;
+    for (const auto &step : input.spec.steps)
+        steps.emplace_back().tasks.resize(step.count);
+    job.occurrences.assign(std::max(1U, input.spec.occurrences), steps);
+    jobs_.emplace(input.id, std::move(job));
+    open_.insert(input.id);
+}
+
+void ledger::handle(const cancel_job &input)
+{
+    const auto found = jobs_.find(input.id);
+    if (found != jobs_.end() && !found->second.ended())
+        closeJob(found->second, job_state::Cancelled, input.wallMs);
+}
+
+void ledger::handle(const start_runs &input)
+{
+    for (const auto &run : input.runs)
+        start(run);
+}
+
+void ledger::start(const assignment &run)
+{
+    auto *task = findTask(run.task);
+    if (task == nullptr)
+        return;
+    auto &job = jobs_.at(run.task.job);
+    if (job.ended() || task->done || task->active || run.run <= task->run)
+        return;
+    task->active = true;
+    task->run = run.run;
+    task->worker = run.worker;
+    task->born = run.born;
+    auto &step = job.occurrences[run.task.occurrence][run.task.step];
+    ++step.activeCount;
+    step.begun = true;
+    job.state = job_state::Running;
+    runs_[run.worker][run.task] = run;
+    ++activeRuns_[job.id];
+}
+
+void ledger::handle(const end_runs &input)
+{
+    for (const auto &value : input.ends)
+        end(value, input.wallMs);
+}
+
+void ledger::end(const run_end &value, std::int64_t wallMs)
+{
+    auto *task = findTask(value.task);
+    if (task == nullptr || !task->active || task->run != value.run)
+        return;
+    auto &job = jobs_.at(value.task.job);
+    auto &step = job.occurrences[value.task.occurrence][value.task.step];
+    const auto &spec = job.spec.steps[value.task.step];
+    task->active = false;
+    --step.activeCount;
+    runs_[task->worker].erase(value.task);
+    if (--activeRuns_[job.id] == 0) {
+        activeRuns_.erase(job.id);
+        if (job.ended())
+            open_.erase(job.id);
+    }
+    if (!value.saved.empty() && spec.checkpointable)
+        task->saved = value.saved;
+    if (value.kind == end_kind::Failed)
+        task->failedOn = task->worker;
+    if (job.ended() || spec.longRunning)
+        return;
+    if (value.kind == end_kind::Done)
+        finishTask(job, value.task, wallMs);
+    else if (value.kind == end_kind::Failed && countFailure(job, spec, step, *task))
+        closeJob(job, job_state::Failed, wallMs);
+}
+
+// One end of a gang as done stands for all its tasks.
+void ledger::finishTask(job_record &job, const task_id &id, std::int64_t wallMs)
+{
+    auto &step = job.occurrences[id.occurrence][id.step];
+    const auto mark = [&step](task_state &item) {
+        step.doneCount += item.done ? 0 : 1;
+        item.done = true;
+    };
+    if (job.spec.steps[id.step].gang)
+        std::ranges::for_each(step.tasks, mark);
+    else
+        mark(step.tasks[id.index]);
+    const auto stepDone = [](const step_state &item) { return item.done(); };
+    for (const auto &steps : job.occurrences) {
+        if (!std::ranges::all_of(steps, stepDone))
+            return;
+    }
+    closeJob(job, job_state::Done, wallMs);
+}
+
+// Returns whether the attempts are used up. Of a gang, all failures of one run count once.
+bool ledger::countFailure(const job_record &job, const step_spec &spec, step_state &step,
+                          task_state &task)
+{
+    ++task.failures;
+    if (!spec.gang)
+        return task.failures >= job.source.attempts;
+    if (step.lastFailedRun != task.run) {
+        step.lastFailedRun = task.run;
+        ++step.failedRuns;
+    }
+    return step.failedRuns >= job.source.attempts;
+}
+
+void ledger::closeJob(job_record &job, job_state state, std::int64_t wallMs)
+{
+    job.state = state;
+    job.endedMs = std::max<std::int64_t>(1, wallMs);
+    if (!activeRuns_.contains(job.id))
+        open_.erase(job.id);
+}
+
+void ledger::handle(const forget_jobs &input)
+{
+    std::erase_if(jobs_, [&](const auto &item) {
+        const auto &job = item.second;
+        return job.ended() && job.endedMs < input.endedBeforeMs && !activeRuns_.contains(job.id);
+    });
+}
+
+void ledger::rebuildIndexes()
+{
+    runs_.clear();
+    activeRuns_.clear();
+    open_.clear();
+    for (const auto &[id, job] : jobs_) {
+        for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+            for (std::uint32_t s = 0; s < job.occurrences[k].size(); ++s) {
+                const auto &tasks = job.occurrences[k][s].tasks;
+                for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+                    if (!tasks[i].active)
+                        continue;
+                    const task_id task {id, k, s, i};
+                    runs_[tasks[i].worker][task]
+                            = {task, tasks[i].run, tasks[i].worker, tasks[i].born};
+                    ++activeRuns_[id];
+                }
+            }
+        }
+        if (!job.ended() || activeRuns_.contains(id))
+            open_.insert(id);
+    }
+}
+
+task_state *ledger::findTask(const task_id &id)
+{
+    const auto found = jobs_.find(id.job);
+    if (found == jobs_.end() || id.occurrence >= found->second.occurrences.size())
+        return nullptr;
+    auto &steps = found->second.occurrences[id.occurrence];
+    if (id.step >= steps.size() || id.index >= steps[id.step].tasks.size())
+        return nullptr;
+    return &steps[id.step].tasks[id.index];
+}
+
+} // namespace persimmon::batch
--- /dev/null
+++ b/packages/batch/src/serialize.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "batch/ledger.h"
+
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+// Binary form of the ledger's types, for the log and its snapshots. The order of the members is the
+// format: a changed order needs a new format number in ledger-codec.cc.
+namespace persimmon::batch {
+
+template <typename Archive>
+void serialize(Archive &archive, amount &value)
+{
+    archive(value.cpu, value.memory, value.accelerators);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, step_spec &value)
+{
+    archive(value.count, value.need, value.estimateMs, value.dependsOn, value.checkpointable,
+            value.gang, value.sameRack, value.speculative, value.longRunning, value.fillsIdle,
+            value.requiredLabel, value.preferredRack, value.maxPerWorker, value.disruptionBudget);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, job_spec &value)
+{
+    archive(value.payload, value.steps, value.occurrences, value.firstDueMs, value.intervalMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, queue &value)
+{
+    archive(value.name, value.host, value.prefix, value.pool, value.priority, value.attempts,
+            value.slackFactor, value.objectiveMs, value.openToAll, value.needsAdvice);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, tenant &value)
+{
+    archive(value.name, value.keys, value.reservedAccelerators);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, configuration &value)
+{
+    archive(value.version, value.document, value.queues, value.tenants);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, task_id &value)
+{
+    archive(value.job, value.occurrence, value.step, value.index);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, assignment &value)
+{
+    archive(value.task, value.run, value.worker, value.born);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, run_end &value)
+{
+    archive(value.task, value.run, value.kind, value.saved);
+}
+
+template <typename Archive>
+void serialize(Archive &, no_op &)
+{
+}
+
+template <typename Archive>
+void serialize(Archive &archive, set_configuration &value)
+{
+    archive(value.value);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, accept_job &value)
+{
+    archive(value.id, value.tenant, value.source, value.spec, value.wallMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, cancel_job &value)
+{
+    archive(value.id, value.wallMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, start_runs &value)
+{
+    archive(value.runs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, end_runs &value)
+{
+    archive(value.ends, value.wallMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, forget_jobs &value)
+{
+    archive(value.endedBeforeMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, task_state &value)
+{
+    archive(value.done, value.active, value.run, value.failures, value.worker, value.born,
+            value.saved, value.failedOn);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, step_state &value)
+{
+    archive(value.tasks, value.doneCount, value.activeCount, value.failedRuns, value.lastFailedRun,
+            value.begun);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, job_record &value)
+{
+    archive(value.id, value.tenant, value.source, value.spec, value.acceptedMs, value.endedMs,
+            value.state, value.occurrences);
+}
+
+} // namespace persimmon::batch
--- /dev/null
+++ b/packages/batch/src/service.cc
@@ -0,0 +1,247 @@
+#include "batch/service.h"
+
+#include "base/event_log.h"
+
+#include <algorithm>
+#include <set>
+
+namespace persimmon::batch {
+
+namespace {
+
+constexpr std::uint32_t maxTasksOfJob = 20000;
+constexpr std::size_t maxPayloadBytes = 4000;
+
+error invalidTable(std::string detail, std::string field)
+{
+    return {result_code::InvalidTable, std::move(detail), std::move(field), {}};
+}
+
+// A commit without a clear result may still take effect; a refusal by a follower never does.
+error commitError(const error &reason)
+{
+    if (reason.code == result_code::NotLeader)
+        return reason;
+    return {result_code::OutcomeUnknown, reason.detail, {}, {}};
+}
+
+void logRequest(std::string_view event, const caller &from, std::string_view id,
+                std::uint64_t version, std::string_view outcome)
+{
+    logEvent(event,
+             {{"job", id}, {"path", from.path}, {"version", version}, {"outcome", outcome}});
+}
+
+} // namespace
+
+status checkConfiguration(const configuration &value)
+{
+    std::set<std::pair<std::string, std::string>> places;
+    for (const auto &item : value.queues) {
+        if (!places.emplace(item.host, item.prefix).second)
+            return invalidTable("two queues share a host and a prefix", item.name);
+    }
+    std::set<std::string> keys;
+    for (const auto &owner : value.tenants) {
+        for (const auto &key : owner.keys) {
+            if (!keys.insert(key).second)
+                return invalidTable("two tenants share a key", owner.name);
+        }
+    }
+    return std::monostate {};
+}
+
+status checkJob(const job_spec &spec)
+{
+    const auto invalid = [](std::string detail, std::string field) {
+        return error {result_code::InvalidValue, std::move(detail), std::move(field), {}};
+    };
+    if (spec.payload.size() > maxPayloadBytes)
+        return invalid("at most 4000 bytes", "payload");
+    if (spec.steps.empty())
+        return invalid("at least one step", "steps");
+    std::uint64_t tasks = 0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        const auto &step = spec.steps[i];
+        if (step.count == 0)
+            return invalid("at least one task", "count");
+        tasks += std::uint64_t {step.count} * std::max(1U, spec.occurrences);
+        const auto later = [i](std::uint32_t earlier) { return earlier >= i; };
+        if (std::ranges::any_of(step.dependsOn, later))
+            return invalid("must be an earlier step", "dependsOn");
+    }
+    if (tasks > maxTasksOfJob)
+        return invalid("at most " + std::to_string(maxTasksOfJob) + " tasks", "count");
+    return std::monostate {};
+}
+
+service::service(const ledger &state, controller &workers, propose_function propose)
+    : state_(state)
+    , workers_(workers)
+    , propose_(std::move(propose))
+{
+}
+
+result<service::route> service::resolve(const caller &from) const
+{
+    const auto &configured = state_.currentConfiguration();
+    if (configured.version == 0)
+        return error {result_code::NotReady, "no configuration yet", {}, {}};
+    route found;
+    found.found = configured.findQueue(from.host, from.path);
+    if (found.found == nullptr)
+        return error {result_code::NoRoute, "no such queue", "path", {}};
+    if (const auto *owner = configured.findTenant(from.key); owner != nullptr)
+        found.tenant = owner->name;
+    else if (!found.found->openToAll)
+        return error {result_code::UnknownWorkspace, "unknown key", "key", {}};
+    found.id = std::string(from.path.substr(found.found->prefix.size()));
+    return found;
+}
+
+void service::submit(std::int64_t wallMs, const caller &from, job_spec spec,
+                     std::function<void(status)> done)
+{
+    const auto version = state_.currentConfiguration().version;
+    const auto where = resolve(from);
+    if (failed(where)) {
+        logRequest("job.refused", from, {}, version, describe(errorOf(where).code).name);
+        return done(errorOf(where));
+    }
+    const auto &[source, tenantName, id] = valueOf(where);
+    if (auto checked = checkJob(spec); failed(checked)) {
+        logRequest("job.refused", from, id, version, errorOf(checked).detail);
+        return done(checked);
+    }
+    if (state_.findJob(id) != nullptr) {
+        logRequest("job.accepted", from, id, version, "known");
+        return done(std::monostate {});
+    }
+    logEvent("job.proposed", {{"job", id},
+                              {"tenant", tenantName},
+                              {"queue", source->name},
+                              {"steps", spec.steps.size()},
+                              {"tasks", spec.steps.front().count},
+                              {"accelerators", spec.steps.front().need.accelerators},
+                              {"version", version}});
+    propose_(accept_job {id, tenantName, *source, std::move(spec), wallMs},
+             [this, id, done = std::move(done)](const status &committed) {
+                 logEvent("job.accepted",
+                          {{"job", id},
+                           {"outcome",
+                            failed(committed) ? describe(errorOf(committed).code).name : "ok"}});
+                 workers_.wake();
+                 done(failed(committed) ? status {commitError(errorOf(committed))} : committed);
+             });
+}
+
+void service::find(const caller &from, callback<job_state> done)
+{
+    const auto where = resolve(from);
+    if (failed(where))
+        return done(errorOf(where));
+    const auto &id = valueOf(where).id;
+    if (const auto *job = state_.findJob(id); job != nullptr)
+        return done(job->state);
+    // Only a quorum knows that a job does not exist.
+    afterBarrier([this, id, done = std::move(done)](const status &current) {
+        if (failed(current))
+            return done(errorOf(current));
+        const auto *job = state_.findJob(id);
+        if (job == nullptr)
+            return done(error {result_code::NotFound, "no such job", "id", {}});
+        done(job->state);
+    });
+}
+
+void service::cancel(std::int64_t wallMs, const caller &from, std::function<void(status)> done)
+{
+    find(from, [this, wallMs, path = std::string(from.path),
+                done = std::move(done)](const result<job_state> &found) {
+        if (failed(found))
+            return done(errorOf(found));
+        if (valueOf(found) != job_state::Queued && valueOf(found) != job_state::Running)
+            return done(std::monostate {});
+        const auto id = path.substr(path.rfind('/') + 1);
+        propose_(cancel_job {id, wallMs}, [this, id, done](const status &committed) {
+            logEvent("job.cancelled",
+                     {{"job", id},
+                      {"outcome",
+                       failed(committed) ? describe(errorOf(committed).code).name : "ok"}});
+            workers_.wake();
+            done(failed(committed) ? status {commitError(errorOf(committed))} : committed);
+        });
+    });
+}
+
+void service::countWaiting(const caller &from, callback<std::size_t> done)
+{
+    const auto where = resolve(from);
+    if (failed(where))
+        return done(errorOf(where));
+    done(state_.waitingJobs(valueOf(where).found->name));
+}
+
+void service::configure(configuration value, std::function<void(status)> done)
+{
+    const auto version = value.version;
+    const auto held = state_.currentConfiguration().version;
+    if (auto checked = checkConfiguration(value); failed(checked)) {
+        logEvent("configuration.refused",
+                 {{"version", version}, {"held", held}, {"outcome", errorOf(checked).detail}});
+        return done(checked);
+    }
+    if (version <= held) {
+        logEvent("configuration.known", {{"version", version}, {"held", held}, {"outcome", "ok"}});
+        return afterBarrier([done = std::move(done)](const status &current) {
+            done(failed(current) ? status {commitError(errorOf(current))} : current);
+        });
+    }
+    propose_(set_configuration {std::move(value)},
+             [version, held, done = std::move(done)](const status &committed) {
+                 logEvent("configuration.taken",
+                          {{"version", version},
+                           {"held", held},
+                           {"outcome",
+                            failed(committed) ? describe(errorOf(committed).code).name : "ok"}});
+                 done(failed(committed) ? status {commitError(errorOf(committed))} : committed);
+             });
+}
+
+void service::readConfiguration(callback<std::string> done)
+{
+    afterBarrier([this, done = std::move(done)](const status &current) {
+        if (failed(current))
+            return done(errorOf(current));
+        const auto &configured = state_.currentConfiguration();
+        if (configured.version == 0)
+            return done(error {result_code::NotReady, "no configuration yet", {}, {}});
+        done(configured.document);
+    });
+}
+
+void service::afterBarrier(std::function<void(status)> done)
+{
+    propose_(no_op {}, std::move(done));
+}
+
+result<std::string> service::explain(const std::string &id) const
+{
+    const auto *job = state_.findJob(id);
+    if (job == nullptr)
+        return error {result_code::NotFound, "no such job", "id", {}};
+    std::string text = "job " + id + ": " + std::string(toName(job->state)) + ", queue "
+            + job->source.name + ", tenant " + job->tenant + "\n";
+    for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
+        for (std::uint32_t s = 0; s < job->occurrences[k].size(); ++s) {
+            const auto &step = job->occurrences[k][s];
+            text += "occurrence " + std::to_string(k) + " step " + std::to_string(s) + ": "
+                    + std::to_string(step.doneCount) + " of " + std::to_string(step.tasks.size())
+                    + " done, " + std::to_string(step.activeCount) + " active, "
+                    + std::to_string(step.failedRuns) + " failed gang runs\n";
+        }
+    }
+    return text;
+}
+
+} // namespace persimmon::batch
--- /dev/null
+++ b/packages/cluster/src/relay_client.cc
@@ -0,0 +1,342 @@
+#include "cluster/relay_client.h"
+
+#include "base/event_log.h"
+#include "base/log.h"
+#include "cluster/address.h"
+#include "control.capnp.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+
+namespace persimmon::cluster {
+
+namespace {
+
+namespace schema = wire::schema;
+
+constexpr milliseconds retryPause {60};
+constexpr std::size_t maxNodes = 64;
+
+kj::Duration toKj(milliseconds duration)
+{
+    return duration.count() * kj::MILLISECONDS;
+}
+
+struct connection
+{
+    explicit connection(kj::Own<kj::AsyncIoStream> socket)
+        : stream(kj::mv(socket))
+        , client(*stream)
+        , remote(client.bootstrap().castAs<schema::Voter>())
+    {
+    }
+
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyClient client;
+    schema::Voter::Client remote;
+};
+
+using connection_ptr = std::shared_ptr<connection>;
+
+struct node_link
+{
+    connection_ptr open;
+    kj::Maybe<kj::ForkedPromise<void>> connecting;
+};
+
+struct pending_call
+{
+    std::string request;
+    time_point deadline {};
+    relay_client::completion done;
+    bool sent = false; // a node may have passed it on or run it
+    std::string failure = "no node answered";
+};
+
+class failure_log final : public kj::TaskSet::ErrorHandler
+{
+public:
+    void taskFailed(kj::Exception &&failure) override
+    {
+        logFor("relay")->warn("task failed: {}", failure.getDescription().cStr());
+    }
+};
+
+} // namespace
+
+class relay_client::implementation
+{
+public:
+    implementation(wire::event_loop &loop, relay_options options,
+                   std::span<const consensus::voter_id> seeds)
+        : loop_(loop)
+        , options_(options)
+        , tasks_(failureLog_)
+    {
+        addSeeds(seeds);
+    }
+
+    ~implementation() { loop_.timers().cancel(locating_); }
+
+    void addSeeds(std::span<const consensus::voter_id> seeds)
+    {
+        for (const auto id : seeds)
+            learn(id);
+    }
+
+    void call(std::string request, milliseconds deadline, completion done)
+    {
+        auto item = std::make_shared<pending_call>();
+        item->request = std::move(request);
+        item->deadline = loop_.now() + deadline;
+        item->done = std::move(done);
+        attempt(item);
+    }
+
+    void startLocating()
+    {
+        locate();
+        locating_ = loop_.timers().every(options_.locatePeriod,
+                                         [this](time_point) { locate(); });
+    }
+
+    bool inContact() const
+    {
+        return contact_ != time_point {} && contact_ + options_.contactLimit > loop_.now();
+    }
+
+    void join(consensus::voter_id id)
+    {
+        for (const auto node : nodes_) {
+            if (node == id)
+                continue;
+            tasks_.add(connected(node).then(
+                    [this, id](connection_ptr link) {
+                        auto request = link->remote.joinRequest();
+                        request.setId(id);
+                        return timer().timeoutAfter(toKj(options_.attemptTimeout),
+                                                    request.send().ignoreResult());
+                    }).catch_([](kj::Exception &&) {}));
+        }
+    }
+
+private:
+    kj::Timer &timer() { return loop_.io().provider->getTimer(); }
+
+    void learn(consensus::voter_id id)
+    {
+        if (id != 0 && std::ranges::find(nodes_, id) == nodes_.end() && nodes_.size() < maxNodes)
+            nodes_.push_back(id);
+    }
+
+    void setLeader(consensus::voter_id id)
+    {
+        if (id == leader_)
+            return;
+        logEvent("relay.leader", {{"earlier", leader_ == 0 ? "none" : ipOf(leader_)},
+                                  {"leader", id == 0 ? "none" : ipOf(id)}});
+        leader_ = id;
+        learn(id);
+    }
+
+    // The leader if known, else each node in turn.
+    consensus::voter_id target()
+    {
+        if (leader_ != 0 || nodes_.empty())
+            return leader_;
+        return nodes_[next_++ % nodes_.size()];
+    }
+
+    kj::Promise<connection_ptr> connected(consensus::voter_id id)
+    {
+        auto &link = links_[id];
+        if (link.open != nullptr)
+            return link.open;
+        KJ_IF_MAYBE (running, link.connecting) {
+            return running->addBranch().then([this, id] { return ready(id); });
+        }
+        auto &network = loop_.io().provider->getNetwork();
+        auto opened = network.parseAddress(addressOf(id, options_.port))
+                              .then([](kj::Own<kj::NetworkAddress> address) {
+                                  auto stream = address->connect();
+                                  return stream.attach(kj::mv(address));
+                              });
+        auto done = timer().timeoutAfter(toKj(options_.connectTimeout), kj::mv(opened))
+                            .then([this, id](kj::Own<kj::AsyncIoStream> stream) {
+                                links_[id].open = std::make_shared<connection>(kj::mv(stream));
+                                clearConnecting(id);
+                            },
+                            [this, id](kj::Exception &&failure) {
+                                clearConnecting(id);
+                                kj::throwFatalException(kj::mv(failure));
+                            });
+        auto forked = done.fork();
+        auto branch = forked.addBranch();
+        link.connecting = kj::mv(forked);
+        return branch.then([this, id] { return ready(id); });
+    }
+
+    connection_ptr ready(consensus::voter_id id)
+    {
+        KJ_REQUIRE(links_[id].open != nullptr, "connection lost");
+        return links_[id].open;
+    }
+
+    // Later, because this runs in a continuation of the promise.
+    void clearConnecting(consensus::voter_id id)
+    {
+        tasks_.add(kj::evalLater([this, id] { links_[id].connecting = nullptr; }));
+    }
+
+    void lose(consensus::voter_id id, const connection_ptr &used, kj::StringPtr reason)
+    {
+        auto &link = links_[id];
+        if (used == nullptr || link.open != used)
+            return;
+        logEvent("relay.connection_lost", {{"node", ipOf(id)}, {"why", reason.cStr()}});
+        // Destroyed later, because this may run in a continuation of the connection.
+        tasks_.add(kj::evalLater([closed = std::move(link.open)]() mutable { closed = nullptr; }));
+        link.open = nullptr;
+    }
+
+    void attempt(const std::shared_ptr<pending_call> &item)
+    {
+        const auto left = std::chrono::duration_cast<milliseconds>(item->deadline - loop_.now());
+        if (left.count() <= 0) {
+            const auto code = item->sent ? result_code::OutcomeUnknown : result_code::NotReady;
+            return item->done(error {code, item->failure, {}, milliseconds {1000}});
+        }
+        const auto id = target();
+        if (id == 0)
+            return retryLater(item);
+        const auto limit = std::min(left, options_.attemptTimeout);
+        auto used = std::make_shared<connection_ptr>();
+        auto sending = connected(id).then([this, item, used, limit](connection_ptr link) {
+            *used = link;
+            auto request = link->remote.relayRequest();
+            request.setRequest({reinterpret_cast<const kj::byte *>(item->request.data()),
+                                item->request.size()});
+            return timer().timeoutAfter(toKj(limit), request.send());
+        });
+        tasks_.add(sending.then(
+                [this, item, id](capnp::Response<schema::Voter::RelayResults> answer) {
+                    finish(item, id, answer);
+                },
+                [this, item, id, used](kj::Exception &&failure) {
+                    item->failure = failure.getDescription().cStr();
+                    item->sent = item->sent || *used != nullptr;
+                    lose(id, *used, failure.getDescription());
+                    if (leader_ == id)
+                        setLeader(0);
+                    retryLater(item);
+                }));
+    }
+
+    void finish(const std::shared_ptr<pending_call> &item, consensus::voter_id id,
+                capnp::Response<schema::Voter::RelayResults> &answer)
+    {
+        const auto code = static_cast<result_code>(answer.getCode());
+        if (code == result_code::NotLeader) {
+            item->failure = "no leader";
+            setLeader(answer.getLeader() == id ? 0 : answer.getLeader());
+            return retryLater(item);
+        }
+        setLeader(id);
+        contact_ = loop_.now();
+        if (code != result_code::Ok)
+            return item->done(error {code, answer.getDetail().cStr(), {}, {}});
+        const auto body = answer.getResponse();
+        item->done(std::string(reinterpret_cast<const char *>(body.begin()), body.size()));
+    }
+
+    void retryLater(const std::shared_ptr<pending_call> &item)
+    {
+        loop_.timers().after(retryPause, [this, item](time_point) { attempt(item); });
+    }
+
+    void locate()
+    {
+        const auto id = leader_ != 0 ? leader_ : target();
+        if (id == 0)
+            return;
+        auto used = std::make_shared<connection_ptr>();
+        auto asking = connected(id).then([this, used](connection_ptr link) {
+            *used = link;
+            return timer().timeoutAfter(toKj(options_.attemptTimeout),
+                                        link->remote.locateRequest().send());
+        });
+        tasks_.add(asking.then(
+                [this, id](capnp::Response<schema::Voter::LocateResults> answer) {
+                    for (const auto voter : answer.getVoters())
+                        learn(voter);
+                    if (answer.getServing()) {
+                        setLeader(id);
+                        noteContact();
+                    } else {
+                        setLeader(answer.getLeader() == id ? 0 : answer.getLeader());
+                    }
+                },
+                [this, id, used](kj::Exception &&failure) {
+                    lose(id, *used, failure.getDescription());
+                    if (leader_ == id)
+                        setLeader(0);
+                }));
+    }
+
+    void noteContact()
+    {
+        if (!inContact())
+            logEvent("relay.contact", {{"leader", ipOf(leader_)}, {"outcome", "regained"}});
+        contact_ = loop_.now();
+    }
+
+    wire::event_loop &loop_;
+    relay_options options_;
+    std::vector<consensus::voter_id> nodes_;
+    std::map<consensus::voter_id, node_link> links_;
+    consensus::voter_id leader_ = 0;
+    std::size_t next_ = 0;
+    time_point contact_ {};
+    timer_service::subscription locating_ {};
+    failure_log failureLog_;
+    kj::TaskSet tasks_;
+};
+
+relay_client::relay_client(wire::event_loop &loop, relay_options options,
+                           std::span<const consensus::voter_id> seeds)
+    : implementation_(std::make_unique<implementation>(loop, options, seeds))
+{
+}
+
+relay_client::~relay_client() = default;
+
+void relay_client::call(std::string request, milliseconds deadline, completion done)
+{
+    implementation_->call(std::move(request), deadline, std::move(done));
+}
+
+void relay_client::startLocating()
+{
+    implementation_->startLocating();
+}
+
+void relay_client::addSeeds(std::span<const consensus::voter_id> seeds)
+{
+    implementation_->addSeeds(seeds);
+}
+
+bool relay_client::inContact() const
+{
+    return implementation_->inContact();
+}
+
+void relay_client::join(consensus::voter_id id)
+{
+    implementation_->join(id);
+}
+
+} // namespace persimmon::cluster
--- a/packages/consensus/include/consensus/node.h
+++ b/packages/consensus/include/consensus/node.h
@@ -30,6 +30,7 @@
     voter_id id = 0;
     bool voter = false;
     log_index matched = 0;
+    time_point acked = time_point::min(); // last answer in this term; of itself: min
 };
 
 struct node_status
--- a/packages/consensus/src/core.cc
+++ b/packages/consensus/src/core.cc
@@ -336,12 +336,13 @@
     for (const auto id : voters()) {
         const bool own = id == options_.node.self;
         const auto found = peers_.find(id);
-        value.peers.push_back(
-                {id, true, own ? durable_ : (found == peers_.end() ? 0 : found->second.matched)});
+        const bool heard = found != peers_.end();
+        value.peers.push_back({id, true, own ? durable_ : (heard ? found->second.matched : 0),
+                               heard ? found->second.acked : time_point::min()});
     }
     for (const auto &[id, other] : peers_) {
         if (!contains(voters(), id))
-            value.peers.push_back({id, false, other.matched});
+            value.peers.push_back({id, false, other.matched, other.acked});
     }
     return value;
 }
--- a/packages/wire/schema/control.capnp
+++ b/packages/wire/schema/control.capnp
@@ -93,4 +93,14 @@
 interface Voter extends(Control, Peer) {
   # Starts a graceful shutdown of this voter; answers before the shutdown begins.
   drain @0 () -> ();
+
+  # Asks the leader to make a node that is not a voter one. Answers before the change is done.
+  join @1 (id :UInt32) -> ();
+
+  # Names the leader as far as this node knows (0: nobody) and the voters.
+  locate @2 () -> (leader :UInt32, voters :List(UInt32), serving :Bool);
+
+  # Passes an encoded request to the leader. A node that doesn't lead answers not_leader (5001) and
+  # its hint, and has done nothing.
+  relay @3 (request :Data) -> (code :UInt16, detail :Text, leader :UInt32, response :Data);
 }
--- a/packages/wire/src/event_loop.cc
+++ b/packages/wire/src/event_loop.cc
@@ -5,6 +5,7 @@
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
+#include <ctime>
 #include <mutex>
 #include <vector>
 
@@ -12,13 +13,17 @@
 
 namespace {
 
+// Monotonic time that also counts while the machine is suspended: a leader's lease must not
+// outlive a suspension.
 time_point steadyNow()
 {
-    return std::chrono::time_point_cast<std::chrono::microseconds>(
-            std::chrono::steady_clock::now());
+    timespec value {};
+    ::clock_gettime(CLOCK_BOOTTIME, &value);
+    return time_point {std::chrono::seconds {value.tv_sec}
+                       + std::chrono::microseconds {value.tv_nsec / 1000}};
 }
 
-// Timer service that reads the steady clock and tells the loop when the next due time changes.
+// Timer service that reads the monotonic clock and tells the loop when the next due time changes.
 class loop_timer_service : public manual_timer_service
 {
 public:
--- a/support/package.cmake
+++ b/support/package.cmake
@@ -9,6 +9,9 @@
 
 # persimmon_tests(NAME DEPS...): one test program NAME-test of packages/NAME/test/*-test.cc.
 function(persimmon_tests name)
+  if(NOT PERSIMMON_TESTS)
+    return()
+  endif()
   file(GLOB sources CONFIGURE_DEPENDS test/*-test.cc)
   if(NOT sources)
     return()
