Keep a run that is in no list until a stop can't take longer

The controller took that for an order that never arrived, ended the run as not started and started it again, while it ended as done. Ruled out: a leader change (one leader in that time), an expired lease (none lapsed). Change: a run must be in no list for 1.6 s, longer than any stop.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -22,6 +22,8 @@
     milliseconds quarantine {6000}; // of a worker that failed two jobs in a row
     milliseconds keepEnded {300000}; // jobs are known for this time after their end
     milliseconds leaderLease {1000}; // an earlier leader may still have extended leases
+    milliseconds missingLimit {1600}; // a run in no list for this time was never started; longer
+                                      // than a stop takes, while which a run is in no list
 };
 
 // Replicates a command; the callback runs after it is applied or has failed.
@@ -82,6 +84,7 @@
         bool everDone = false;
         std::optional<time_point> left;
         std::map<task_id, run_watch> runs;
+        std::map<task_id, std::pair<std::uint32_t, time_point>> missing; // run, and since when
     };
 
     using run_key = std::pair<task_id, std::uint32_t>;
@@ -89,7 +92,7 @@
     bool isStale(const worker_state &known, const worker_report &report) const;
     std::vector<run_end> readEnds(worker_state &known, time_point now);
     void noteRunning(worker_state &known, time_point now);
-    void noteMissing(const worker_state &known, time_point now, std::vector<run_end> &ends) const;
+    void noteMissing(worker_state &known, time_point now, std::vector<run_end> &ends) const;
     void noteEnd(worker_state &known, const ended_task &row, time_point now);
     worker_orders ordersFor(const worker_state &known) const;
     void addStarts(const worker_state &known, worker_orders &orders) const;
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -8,10 +8,6 @@
 
 namespace {
 
-// Answers to heartbeats that take longer than this are dropped by the worker, so orders of an
-// earlier leader have no effect any more.
-constexpr milliseconds answerLimit {1200};
-
 constexpr std::size_t quarantineAfterJobs = 2;
 
 std::string nameOf(const task_id &task)
@@ -181,26 +177,31 @@
                                     {"for_ms", options_.quarantine.count()}});
 }
 
-// Runs that the ledger has on the worker but the worker doesn't list. A heartbeat is sent after the
-// answer to the one before was taken or dropped, so what isn't listed was never started.
-void controller::noteMissing(const worker_state &known, time_point now,
-                             std::vector<run_end> &ends) const
+// Runs that the ledger has on the worker but the worker doesn't list. Either the order has not
+// reached it, or the run is being stopped. A heartbeat is sent after the answer to the one before
+// was taken or dropped, so what isn't listed for long was never started.
+void controller::noteMissing(worker_state &known, time_point now, std::vector<run_end> &ends) const
 {
     const auto &report = known.report;
+    auto earlier = std::move(known.missing);
+    known.missing.clear();
     for (const auto &[task, run] : state_.runsOn(report.id)) {
         if (run.born < report.born) {
             ends.push_back({task, run.run, end_kind::Lost, {}});
             continue;
         }
-        if (run.born > report.born)
-            continue;
         const auto running = known.runs.find(task);
-        if (running != known.runs.end() && running->second.run == run.run)
-            continue;
-        const bool reported = std::ranges::any_of(
+        const bool listed = running != known.runs.end() && running->second.run == run.run;
+        const bool ended = std::ranges::any_of(
                 ends, [&](const run_end &end) { return end.task == task && end.run == run.run; });
-        // Late heartbeats from before this leader's time may lack runs; hence the wait.
-        if (!reported && now - known.firstHeard > answerLimit && shouldStop(known, task, run.run))
+        if (run.born > report.born || listed || ended)
+            continue;
+        auto &[number, since] = known.missing[task];
+        number = run.run;
+        const auto before = earlier.find(task);
+        const bool same = before != earlier.end() && before->second.first == run.run;
+        since = same ? before->second.second : now;
+        if (now - since > options_.missingLimit && shouldStop(known, task, run.run))
             ends.push_back({task, run.run, end_kind::NotStarted, {}});
     }
 }
