--- /dev/null
+++ b/packages/batch/test/controller-test.cc
@@ -0,0 +1,213 @@
+#include "fixture.h"
+
+using namespace persimmon;
+using namespace persimmon::batch;
+
+TEST_GROUP(Controller)
+{
+    leader_fixture leader;
+
+    // Starts one task on worker w1 and returns its heartbeat with the task running.
+    worker_report startOne(const step_spec &step)
+    {
+        leader.configure(1);
+        leader.submit("/q1/a", step);
+        leader.beat(leader.report("w1"));
+        leader.advance(100);
+        const auto orders = leader.beat(leader.report("w1"));
+        CHECK_EQUAL(step.count, orders.starts.size());
+        auto running = leader.report("w1");
+        for (const auto &order : orders.starts)
+            running.running.push_back({order.task, order.run, "", 10});
+        leader.beat(running);
+        return running;
+    }
+
+    worker_orders beatWith(worker_report value)
+    {
+        value.sequence = ++leader.sequence;
+        return leader.beat(value);
+    }
+};
+
+// Guards against a lost order: the start is repeated until the worker lists the run.
+TEST(Controller, repeatsStartUntilListed)
+{
+    leader.configure(1);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.beat(leader.report("w1"));
+    leader.advance(100);
+    CHECK_EQUAL(1, leader.beat(leader.report("w1")).starts.size());
+    const auto again = leader.beat(leader.report("w1"));
+    CHECK_EQUAL(1, again.starts.size());
+    CHECK_EQUAL(1, again.starts.front().run);
+}
+
+// Guards against an order before its commit: a new leader would not know of the run.
+TEST(Controller, sendsNoStartBeforeItsCommit)
+{
+    leader.configure(1);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.beat(leader.report("w1"));
+    leader.hold = true;
+    leader.advance(100);
+    CHECK_EQUAL(0, leader.beat(leader.report("w1")).starts.size());
+    leader.hold = false;
+    leader.releaseHeld();
+    CHECK_EQUAL(1, leader.beat(leader.report("w1")).starts.size());
+}
+
+// Guards against a second run of a task that is being stopped: it is in no list meanwhile.
+TEST(Controller, keepsRunThatIsBeingStopped)
+{
+    auto running = startOne(leader_fixture::tasks(1, 8));
+    leader.configure(0);
+    leader.submit("/q0/b", leader_fixture::tasks(1, 8));
+    leader.advance(100);
+    CHECK_EQUAL(1, beatWith(running).stops.size());
+    // The worker stops the run; another worker joins meanwhile.
+    auto stopping = running;
+    stopping.running.clear();
+    for (int i = 0; i < 5; ++i) {
+        CHECK_EQUAL(0, beatWith(stopping).starts.size());
+        leader.beat(leader.report("w2"));
+        leader.advance(100);
+    }
+    CHECK_TRUE(leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).active);
+    auto ended = stopping;
+    ended.ended.push_back({1, {"a", 0, 0, 0}, 1, end_kind::Done, ""});
+    CHECK_EQUAL(1, *beatWith(ended).seenUpTo);
+    CHECK_TRUE(leader.stateOf("a") == job_state::Done);
+}
+
+// Guards against confirming an end that a new leader would not know.
+TEST(Controller, confirmsEndsAfterTheirCommit)
+{
+    auto ended = startOne(leader_fixture::tasks(1, 1));
+    ended.running.clear();
+    ended.ended.push_back({7, {"a", 0, 0, 0}, 1, end_kind::Done, ""});
+    ended.sequence = ++leader.sequence;
+    leader.hold = true;
+    bool answered = false;
+    leader.workers.heartbeat(leader.now, leader.wallMs, ended,
+                             [&](const result<worker_orders> &) { answered = true; });
+    CHECK_FALSE(answered);
+    leader.releaseHeld();
+    CHECK_TRUE(answered);
+}
+
+// Guards against two runs at once: a silent worker's run is replaced only after its lease.
+TEST(Controller, waitsForLeaseOfSilentWorker)
+{
+    startOne(leader_fixture::tasks(1, 1));
+    for (int ms = 0; ms < 5000; ms += 100) {
+        leader.beat(leader.report("w2"));
+        leader.advance(100);
+    }
+    CHECK_EQUAL(1, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
+    for (int ms = 0; ms < 1000; ms += 100) {
+        leader.beat(leader.report("w2"));
+        leader.advance(100);
+    }
+    CHECK_EQUAL(2, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
+}
+
+// Guards against restarting what runs on a worker that a new leader has not heard yet.
+TEST(Controller, newLeaderKeepsRunsOfUnheardWorkers)
+{
+    startOne(leader_fixture::tasks(1, 1));
+    leader.advance(4000);
+    leader.workers.beginTerm(2, leader.now);
+    for (int ms = 0; ms < 5000; ms += 100) {
+        leader.beat(leader.report("w2"));
+        leader.advance(100);
+    }
+    CHECK_EQUAL(1, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
+}
+
+// Guards against waiting for the lease of a worker that has restarted: it runs nothing.
+TEST(Controller, replacesRunsOfRestartedWorkerAtOnce)
+{
+    startOne(leader_fixture::tasks(1, 1));
+    auto reborn = leader.report("w1");
+    reborn.born = 2000;
+    leader.beat(reborn);
+    leader.advance(100);
+    CHECK_EQUAL(2, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
+}
+
+// Guards against a late heartbeat of an earlier incarnation taking effect.
+TEST(Controller, ignoresLateHeartbeat)
+{
+    auto old = leader.report("w1");
+    auto reborn = leader.report("w1");
+    reborn.born = 2000;
+    leader.configure(1);
+    CHECK_EQUAL(5000, leader.beat(reborn).leaseMs);
+    CHECK_EQUAL(0, leader.beat(old).leaseMs);
+}
+
+// Guards against work for a worker that is leaving.
+TEST(Controller, startsNothingOnDrainingWorker)
+{
+    leader.configure(1);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    auto leaving = leader.report("w1");
+    leaving.draining = true;
+    leader.beat(leaving);
+    leader.advance(100);
+    leaving.sequence = ++leader.sequence;
+    CHECK_EQUAL(0, leader.beat(leaving).starts.size());
+}
+
+// Guards against cancelled work that runs on.
+TEST(Controller, stopsCancelledJob)
+{
+    auto running = startOne(leader_fixture::tasks(2, 1));
+    leader.queues.cancel(leader.wallMs, {"host", "/q1/a", ""}, [](const status &) {});
+    CHECK_EQUAL(2, beatWith(running).stops.size());
+    CHECK_TRUE(leader.stateOf("a") == job_state::Cancelled);
+}
+
+// Guards against a follower that extends leases or gives orders.
+TEST(Controller, refusesHeartbeatsWithoutLeadership)
+{
+    leader.workers.endTerm();
+    result<worker_orders> outcome = worker_orders {};
+    leader.workers.heartbeat(leader.now, leader.wallMs, leader.report("w1"),
+                             [&](const result<worker_orders> &done) { outcome = done; });
+    CHECK_TRUE(errorOf(outcome).code == result_code::NotLeader);
+}
+
+// Guards against work on a worker that fails everything.
+TEST(Controller, quarantinesWorkerThatFailsTwoJobs)
+{
+    leader.configure(1);
+    auto full = leader.report("w3"); // has no room; most workers in quarantine would end it
+    full.capacity = {};
+    leader.beat(full);
+    leader.beat(leader.report("w1"));
+    for (const auto *job : {"a", "b"}) {
+        leader.submit("/q1/" + std::string(job), leader_fixture::tasks(1, 1));
+        leader.advance(100);
+        auto ended = leader.report("w1");
+        ended.ended.push_back({leader.sequence, {job, 0, 0, 0}, 1, end_kind::Failed, ""});
+        leader.beat(ended);
+    }
+    leader.submit("/q1/c", leader_fixture::tasks(1, 1));
+    leader.advance(100);
+    leader.beat(leader.report("w2"));
+    leader.advance(100);
+    STRCMP_EQUAL("w2", leader.state.findJob("c")->taskOf({"c", 0, 0, 0}).worker.c_str());
+}
+
+// Guards against a task that stands still on one worker for ever.
+TEST(Controller, movesStalledRun)
+{
+    auto running = startOne(leader_fixture::tasks(1, 1));
+    for (int ms = 0; ms < 2600; ms += 100) {
+        beatWith(running);
+        leader.advance(100);
+    }
+    CHECK_EQUAL(1, beatWith(running).stops.size());
+}
--- /dev/null
+++ b/packages/batch/test/fixture.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "batch/controller.h"
+#include "batch/service.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace persimmon::batch {
+
+// Ledger and controller of a leader whose commits take effect at once, or when the test says so.
+struct leader_fixture
+{
+    leader_fixture()
+        : workers(state, options(),
+                  [this](const command &value, std::function<void(status)> done) {
+                      if (hold) {
+                          held.emplace_back(value, std::move(done));
+                          return;
+                      }
+                      commit(value);
+                      done(std::monostate {});
+                  })
+        , queues(state, workers,
+                 [this](const command &value, std::function<void(status)> done) {
+                     commit(value);
+                     done(std::monostate {});
+                 })
+    {
+        workers.beginTerm(1, now);
+    }
+
+    static controller_options options()
+    {
+        controller_options made;
+        made.lease = milliseconds {5000};
+        return made;
+    }
+
+    void commit(const command &value)
+    {
+        // Passes through the codec, as on a real log.
+        state.apply(valueOf(decodeCommand(encode(value))));
+    }
+
+    void releaseHeld()
+    {
+        auto items = std::move(held);
+        held.clear();
+        for (auto &[value, done] : items) {
+            commit(value);
+            done(std::monostate {});
+        }
+    }
+
+    void configure(std::uint32_t priority, std::uint32_t attempts = 3)
+    {
+        configuration value;
+        value.version = ++version;
+        value.document = "{}";
+        value.queues.push_back({"q" + std::to_string(priority), "host",
+                                "/q" + std::to_string(priority) + "/", "pool", priority, attempts, 3.0,
+                                1000, true, false});
+        if (priority != 2)
+            value.queues.push_back({"q2", "host", "/q2/", "pool", 2, attempts, 3.0, 1000, true,
+                                    false});
+        commit(set_configuration {value});
+    }
+
+    void submit(const std::string &path, const step_spec &step)
+    {
+        job_spec spec;
+        spec.payload = "work";
+        spec.steps = {step};
+        status outcome = error {};
+        queues.submit(wallMs, {"host", path, ""}, spec, [&](const status &done) { outcome = done; });
+        CHECK_FALSE(failed(outcome));
+    }
+
+    static step_spec tasks(std::uint32_t count, std::int64_t accelerators)
+    {
+        step_spec step;
+        step.count = count;
+        step.need = {1000, 100, accelerators};
+        step.estimateMs = 4000;
+        return step;
+    }
+
+    worker_report report(const std::string &id)
+    {
+        worker_report made;
+        made.id = id;
+        made.born = 1000;
+        made.sequence = ++sequence;
+        made.pool = "pool";
+        made.rack = "rack-1";
+        made.labels = {"kind", "rack-1"};
+        made.capacity = {8000, 8000, 8};
+        return made;
+    }
+
+    worker_orders beat(const worker_report &value)
+    {
+        result<worker_orders> outcome = error {};
+        workers.heartbeat(now, wallMs, value,
+                          [&](const result<worker_orders> &done) { outcome = done; });
+        CHECK_FALSE(failed(outcome));
+        return failed(outcome) ? worker_orders {} : valueOf(outcome);
+    }
+
+    void advance(std::int64_t ms)
+    {
+        now += milliseconds {ms};
+        wallMs += ms;
+        workers.tick(now, wallMs);
+    }
+
+    job_state stateOf(const std::string &id) const { return state.findJob(id)->state; }
+
+    time_point now {std::chrono::seconds {100}};
+    std::int64_t wallMs = 1'000'000;
+    std::uint64_t version = 0;
+    std::uint64_t sequence = 0;
+    bool hold = false;
+    std::vector<std::pair<command, std::function<void(status)>>> held;
+    ledger state;
+    controller workers;
+    service queues;
+};
+
+} // namespace persimmon::batch
--- /dev/null
+++ b/packages/batch/test/ledger-test.cc
@@ -0,0 +1,144 @@
+#include "fixture.h"
+
+using namespace persimmon;
+using namespace persimmon::batch;
+
+TEST_GROUP(Ledger)
+{
+    ledger state;
+
+    void accept(const step_spec &step, std::uint32_t attempts = 2)
+    {
+        queue source;
+        source.name = "q";
+        source.pool = "pool";
+        source.attempts = attempts;
+        state.apply(accept_job {"a", "tenant", source, {"work", {step}, 1, 0, 0}, 10});
+    }
+
+    void start(std::uint32_t index, std::uint32_t run)
+    {
+        state.apply(start_runs {{{{"a", 0, 0, index}, run, "w" + std::to_string(index), 1}}});
+    }
+
+    void end(std::uint32_t index, std::uint32_t run, end_kind kind, const std::string &saved = {})
+    {
+        state.apply(end_runs {{{{"a", 0, 0, index}, run, kind, saved}}, 20});
+    }
+
+    const task_state &task(std::uint32_t index) { return state.findJob("a")->taskOf({"a", 0, 0, index}); }
+};
+
+// Guards against a second run beside the first.
+TEST(Ledger, refusesRunWhileOneIsActive)
+{
+    accept(leader_fixture::tasks(1, 1));
+    start(0, 1);
+    start(0, 2);
+    CHECK_EQUAL(1, task(0).run);
+}
+
+// Guards against counting the end of an earlier run for the present one.
+TEST(Ledger, ignoresEndOfEarlierRun)
+{
+    accept(leader_fixture::tasks(1, 1));
+    start(0, 1);
+    end(0, 1, end_kind::Lapsed);
+    start(0, 2);
+    end(0, 1, end_kind::Done);
+    CHECK_TRUE(task(0).active);
+    CHECK_FALSE(task(0).done);
+}
+
+// Guards against a job that ends as done while a task has not.
+TEST(Ledger, jobIsDoneAfterAllTasks)
+{
+    accept(leader_fixture::tasks(2, 1));
+    start(0, 1);
+    start(1, 1);
+    end(0, 1, end_kind::Done);
+    CHECK_TRUE(state.findJob("a")->state == job_state::Running);
+    end(1, 1, end_kind::Done);
+    CHECK_TRUE(state.findJob("a")->state == job_state::Done);
+}
+
+// Guards against a gang that is restarted after one member reported its end.
+TEST(Ledger, oneEndOfGangStandsForAll)
+{
+    auto step = leader_fixture::tasks(2, 1);
+    step.gang = true;
+    accept(step);
+    start(0, 1);
+    start(1, 1);
+    end(0, 1, end_kind::Done);
+    CHECK_TRUE(state.findJob("a")->state == job_state::Done);
+    CHECK_EQUAL(1, state.runsOn("w1").size());
+    end(1, 1, end_kind::Done);
+    CHECK_EQUAL(0, state.runsOn("w1").size());
+}
+
+// Guards against failing a gang too early: all failures of one run are one attempt.
+TEST(Ledger, failuresOfOneGangRunCountOnce)
+{
+    auto step = leader_fixture::tasks(2, 1);
+    step.gang = true;
+    accept(step);
+    start(0, 1);
+    start(1, 1);
+    end(0, 1, end_kind::Failed);
+    end(1, 1, end_kind::Failed);
+    CHECK_TRUE(state.findJob("a")->state == job_state::Running);
+    start(0, 2);
+    end(0, 2, end_kind::Failed);
+    CHECK_TRUE(state.findJob("a")->state == job_state::Failed);
+}
+
+// Guards against counting stops and lapsed leases as failed attempts.
+TEST(Ledger, onlyFailuresCountAsAttempts)
+{
+    accept(leader_fixture::tasks(1, 1), 1);
+    for (std::uint32_t run = 1; run < 5; ++run) {
+        start(0, run);
+        end(0, run, run % 2 == 0 ? end_kind::Lapsed : end_kind::Stopped);
+    }
+    CHECK_TRUE(state.findJob("a")->state == job_state::Running);
+}
+
+// Guards against a configuration that goes back.
+TEST(Ledger, keepsHighestConfiguration)
+{
+    configuration newer;
+    newer.version = 5;
+    configuration older;
+    older.version = 4;
+    state.apply(set_configuration {newer});
+    state.apply(set_configuration {older});
+    CHECK_EQUAL(5, state.currentConfiguration().version);
+}
+
+// Guards against state that a restart loses.
+TEST(Ledger, snapshotRestoresEverything)
+{
+    auto step = leader_fixture::tasks(3, 1);
+    step.checkpointable = true;
+    accept(step);
+    start(0, 1);
+    start(1, 1);
+    end(0, 1, end_kind::Stopped, "saved-1");
+    ledger other;
+    CHECK_FALSE(failed(other.restore(state.snapshot())));
+    STRCMP_EQUAL("saved-1", other.findJob("a")->taskOf({"a", 0, 0, 0}).saved.c_str());
+    CHECK_EQUAL(1, other.runsOn("w1").size());
+    CHECK_TRUE(other.snapshot() == state.snapshot());
+}
+
+// Guards against a crash on a damaged snapshot.
+TEST(Ledger, refusesDamagedSnapshot)
+{
+    accept(leader_fixture::tasks(3, 1));
+    auto bytes = state.snapshot();
+    bytes.resize(bytes.size() / 2);
+    ledger other;
+    CHECK_TRUE(failed(other.restore(bytes)));
+    CHECK_TRUE(other.findJob("a") == nullptr);
+}
--- /dev/null
+++ b/packages/batch/test/scheduler-test.cc
@@ -0,0 +1,199 @@
+#include "fixture.h"
+
+#include <set>
+
+using namespace persimmon;
+using namespace persimmon::batch;
+
+TEST_GROUP(Scheduler)
+{
+    leader_fixture leader;
+
+    // Lets workers of one rack join, w1 to wN.
+    void join(int count, const std::string &rack = "rack-1", const std::string &prefix = "w")
+    {
+        for (int i = 1; i <= count; ++i) {
+            auto report = leader.report(prefix + std::to_string(i));
+            report.rack = rack;
+            report.labels = {"kind", rack};
+            leader.beat(report);
+        }
+    }
+
+    std::size_t activeTasks(const std::string &job)
+    {
+        std::size_t count = 0;
+        for (const auto &task : leader.state.findJob(job)->occurrences[0][0].tasks)
+            count += task.active ? 1 : 0;
+        return count;
+    }
+
+    std::set<std::string> workersOf(const std::string &job)
+    {
+        std::set<std::string> names;
+        for (const auto &task : leader.state.findJob(job)->occurrences[0][0].tasks) {
+            if (task.active)
+                names.insert(task.worker);
+        }
+        return names;
+    }
+};
+
+// Guards against a worker that is given more than its capacity.
+TEST(Scheduler, keepsCapacity)
+{
+    join(1);
+    leader.configure(1);
+    leader.submit("/q1/a", leader_fixture::tasks(5, 2));
+    leader.advance(100);
+    CHECK_EQUAL(4, activeTasks("a"));
+}
+
+// Guards against a gang of which a part is started.
+TEST(Scheduler, startsGangAsWhole)
+{
+    join(1);
+    leader.configure(1);
+    auto step = leader_fixture::tasks(2, 8);
+    step.gang = true;
+    leader.submit("/q1/a", step);
+    leader.advance(100);
+    CHECK_EQUAL(0, activeTasks("a"));
+    join(2);
+    leader.advance(100);
+    CHECK_EQUAL(2, activeTasks("a"));
+}
+
+// Guards against members of a gang with different run numbers.
+TEST(Scheduler, gangMembersShareTheRun)
+{
+    join(2);
+    leader.configure(1);
+    auto step = leader_fixture::tasks(2, 8);
+    step.gang = true;
+    leader.submit("/q1/a", step);
+    leader.advance(100);
+    leader.commit(end_runs {{{{"a", 0, 0, 0}, 1, end_kind::Stopped, ""},
+                             {{"a", 0, 0, 1}, 1, end_kind::Broken, ""}},
+                            leader.wallMs});
+    leader.advance(100);
+    CHECK_EQUAL(2, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
+    CHECK_EQUAL(2, leader.state.findJob("a")->taskOf({"a", 0, 0, 1}).run);
+}
+
+// Guards against a gang of one rack that is spread.
+TEST(Scheduler, keepsSameRackGangTogether)
+{
+    join(1, "rack-1", "a");
+    join(2, "rack-2", "b");
+    leader.configure(1);
+    auto step = leader_fixture::tasks(2, 8);
+    step.gang = true;
+    step.sameRack = true;
+    leader.submit("/q1/a", step);
+    leader.advance(100);
+    CHECK_TRUE((workersOf("a") == std::set<std::string> {"b1", "b2"}));
+}
+
+// Guards against a step that starts before those it depends on.
+TEST(Scheduler, waitsForEarlierSteps)
+{
+    join(2);
+    leader.configure(1);
+    job_spec spec;
+    spec.payload = "work";
+    spec.steps = {leader_fixture::tasks(1, 1), leader_fixture::tasks(1, 1)};
+    spec.steps[1].dependsOn = {0};
+    leader.queues.submit(leader.wallMs, {"host", "/q1/a", ""}, spec, [](const status &) {});
+    leader.advance(100);
+    CHECK_FALSE(leader.state.findJob("a")->occurrences[0][1].begun);
+    leader.commit(end_runs {{{{"a", 0, 0, 0}, 1, end_kind::Done, ""}}, leader.wallMs});
+    leader.advance(100);
+    CHECK_TRUE(leader.state.findJob("a")->occurrences[0][1].begun);
+}
+
+// Guards against occurrences that start early.
+TEST(Scheduler, startsOccurrencesWhenDue)
+{
+    join(1);
+    leader.configure(1);
+    job_spec spec;
+    spec.payload = "work";
+    spec.steps = {leader_fixture::tasks(1, 1)};
+    spec.occurrences = 2;
+    spec.firstDueMs = leader.wallMs + 500;
+    spec.intervalMs = 1000;
+    leader.queues.submit(leader.wallMs, {"host", "/q1/a", ""}, spec, [](const status &) {});
+    leader.advance(100);
+    CHECK_FALSE(leader.state.findJob("a")->occurrences[0][0].begun);
+    leader.advance(500);
+    CHECK_TRUE(leader.state.findJob("a")->occurrences[0][0].begun);
+    CHECK_FALSE(leader.state.findJob("a")->occurrences[1][0].begun);
+    leader.advance(1000);
+    CHECK_TRUE(leader.state.findJob("a")->occurrences[1][0].begun);
+}
+
+// Guards against a placement without the label, or beyond the limit of a worker.
+TEST(Scheduler, keepsLabelsAndLimits)
+{
+    join(2);
+    leader.configure(1);
+    auto labelled = leader_fixture::tasks(1, 1);
+    labelled.requiredLabel = "other";
+    leader.submit("/q1/a", labelled);
+    auto limited = leader_fixture::tasks(3, 1);
+    limited.maxPerWorker = 1;
+    leader.submit("/q1/b", limited);
+    leader.advance(100);
+    CHECK_EQUAL(0, activeTasks("a"));
+    CHECK_EQUAL(2, activeTasks("b"));
+}
+
+// Guards against urgent work that waits for lower priorities, and against more stops than needed.
+TEST(Scheduler, urgentWorkStopsOthers)
+{
+    join(2);
+    leader.configure(0);
+    leader.submit("/q2/a", leader_fixture::tasks(4, 4));
+    leader.advance(100);
+    CHECK_EQUAL(4, activeTasks("a"));
+    leader.submit("/q0/b", leader_fixture::tasks(1, 8));
+    leader.advance(100);
+    std::size_t stops = 0;
+    std::string freed;
+    for (const auto *id : {"w1", "w2"}) {
+        auto report = leader.report(id);
+        for (const auto &[task, run] : leader.state.runsOn(id))
+            report.running.push_back({task, run.run, "", 10});
+        const auto orders = leader.beat(report);
+        stops += orders.stops.size();
+        if (!orders.stops.empty())
+            freed = id;
+        for (const auto &order : orders.stops)
+            leader.commit(end_runs {{{order.task, order.run, end_kind::Stopped, ""}},
+                                    leader.wallMs});
+    }
+    CHECK_EQUAL(2, stops);
+    leader.advance(100);
+    CHECK_TRUE((workersOf("b") == std::set<std::string> {freed}));
+}
+
+// Guards against room freed for urgent work that others take first.
+TEST(Scheduler, keepsRoomForUrgentGang)
+{
+    join(2);
+    leader.configure(0);
+    leader.submit("/q2/a", leader_fixture::tasks(2, 8));
+    leader.advance(100);
+    auto step = leader_fixture::tasks(2, 8);
+    step.gang = true;
+    leader.submit("/q0/b", step);
+    leader.submit("/q2/c", leader_fixture::tasks(1, 8));
+    leader.advance(100);
+    leader.commit(end_runs {{{{"a", 0, 0, 0}, 1, end_kind::Stopped, ""}}, leader.wallMs});
+    leader.advance(100);
+    CHECK_EQUAL(0, activeTasks("c"));
+    leader.commit(end_runs {{{{"a", 0, 0, 1}, 1, end_kind::Stopped, ""}}, leader.wallMs});
+    leader.advance(100);
+    CHECK_EQUAL(2, activeTasks("b"));
+}
--- /dev/null
+++ b/packages/batch/test/service-test.cc
@@ -0,0 +1,108 @@
+#include "fixture.h"
+
+using namespace persimmon;
+using namespace persimmon::batch;
+
+TEST_GROUP(Service)
+{
+    leader_fixture leader;
+
+    result_code submitCode(const caller &from)
+    {
+        job_spec spec;
+        spec.steps = {leader_fixture::tasks(1, 1)};
+        result_code code = result_code::Internal;
+        leader.queues.submit(leader.wallMs, from, spec, [&](const status &done) {
+            code = failed(done) ? errorOf(done).code : result_code::Ok;
+        });
+        return code;
+    }
+
+    result_code configureCode(const configuration &value)
+    {
+        result_code code = result_code::Internal;
+        leader.queues.configure(value, [&](const status &done) {
+            code = failed(done) ? errorOf(done).code : result_code::Ok;
+        });
+        return code;
+    }
+};
+
+// Guards against the wrong refusal: consumers treat each of them differently.
+TEST(Service, refusesWithTheRightCode)
+{
+    CHECK_TRUE(submitCode({"host", "/q1/a", ""}) == result_code::NotReady);
+    leader.configure(1);
+    CHECK_TRUE(submitCode({"host", "/other/a", ""}) == result_code::NoRoute);
+    CHECK_TRUE(submitCode({"other", "/q1/a", ""}) == result_code::NoRoute);
+    CHECK_TRUE(submitCode({"host", "/q1/a", ""}) == result_code::Ok);
+}
+
+// Guards against calls with a key that no tenant holds any more.
+TEST(Service, checksKeys)
+{
+    configuration value;
+    value.version = 1;
+    value.queues = {{"q", "host", "/q/", "pool", 1, 1, 1.0, 1, false, false}};
+    value.tenants = {{"owner", {"key"}, 0}};
+    CHECK_TRUE(configureCode(value) == result_code::Ok);
+    CHECK_TRUE(submitCode({"host", "/q/a", "key"}) == result_code::Ok);
+    value.version = 2;
+    value.tenants.front().keys = {"next"};
+    CHECK_TRUE(configureCode(value) == result_code::Ok);
+    CHECK_TRUE(submitCode({"host", "/q/b", "key"}) == result_code::UnknownWorkspace);
+    CHECK_TRUE(submitCode({"host", "/q/b", "next"}) == result_code::Ok);
+}
+
+// Guards against two jobs of one id.
+TEST(Service, resentJobStaysOne)
+{
+    leader.configure(1);
+    CHECK_TRUE(submitCode({"host", "/q1/a", ""}) == result_code::Ok);
+    CHECK_TRUE(submitCode({"host", "/q1/a", ""}) == result_code::Ok);
+    CHECK_EQUAL(1, leader.state.jobCount());
+}
+
+// Guards against an invalid configuration that is acknowledged because its version is old.
+TEST(Service, refusesInvalidConfigurationOfAnyVersion)
+{
+    leader.configure(1);
+    configuration value;
+    value.version = 1;
+    value.tenants = {{"a", {"key"}, 0}, {"b", {"key"}, 0}};
+    CHECK_TRUE(configureCode(value) == result_code::InvalidTable);
+    value = {};
+    value.version = 9;
+    value.queues = {{"q", "host", "/q/", "pool", 1, 1, 1.0, 1, false, false},
+                    {"p", "host", "/q/", "pool", 1, 1, 1.0, 1, false, false}};
+    CHECK_TRUE(configureCode(value) == result_code::InvalidTable);
+    CHECK_EQUAL(1, leader.state.currentConfiguration().version);
+}
+
+// Guards against a job that is said to be gone without a quorum's word.
+TEST(Service, unknownJobIsNotFound)
+{
+    leader.configure(1);
+    result<job_state> outcome = job_state::Done;
+    leader.queues.find({"host", "/q1/x", ""},
+                       [&](const result<job_state> &found) { outcome = found; });
+    CHECK_TRUE(errorOf(outcome).code == result_code::NotFound);
+}
+
+// Guards against a count of waiting jobs that leaves jobs out or never falls.
+TEST(Service, countsWaitingJobs)
+{
+    leader.configure(1);
+    submitCode({"host", "/q1/a", ""});
+    submitCode({"host", "/q1/b", ""});
+    const auto waiting = [this] {
+        std::size_t count = 99;
+        leader.queues.countWaiting({"host", "/q1/", ""},
+                                   [&](const result<std::size_t> &found) { count = valueOf(found); });
+        return count;
+    };
+    CHECK_EQUAL(2, waiting());
+    leader.beat(leader.report("w1"));
+    leader.advance(100);
+    CHECK_EQUAL(0, waiting());
+}
--- a/packages/cluster/include/cluster/relay_client.h
+++ b/packages/cluster/include/cluster/relay_client.h
@@ -18,6 +18,7 @@
     milliseconds attemptTimeout {900};
     milliseconds connectTimeout {400};
     milliseconds locatePeriod {500};
+    milliseconds refuseAfter {1000}; // a request that could not be sent fails after this time
     milliseconds contactLimit {2500}; // after this time without a leader there is no contact
 };
 
--- a/packages/cluster/src/relay_client.cc
+++ b/packages/cluster/src/relay_client.cc
@@ -10,7 +10,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
-#include <set>
+#include <utility>
 
 namespace persimmon::cluster {
 
@@ -54,6 +54,9 @@
     time_point deadline {};
     relay_client::completion done;
     bool sent = false; // a node may have passed it on or run it
+    bool sending = false; // an attempt waits for its answer
+    bool finished = false;
+    timer_service::subscription expiry {};
     std::string failure = "no node answered";
 };
 
@@ -94,6 +97,13 @@
         item->request = std::move(request);
         item->deadline = loop_.now() + deadline;
         item->done = std::move(done);
+        // Attempts may end later than the deadline; the caller is answered in time.
+        item->expiry = loop_.timers().after(deadline, [this, item](time_point) { expire(item); });
+        if (options_.refuseAfter < deadline)
+            loop_.timers().after(options_.refuseAfter, [this, item](time_point) {
+                if (!item->sent && !item->sending)
+                    expire(item);
+            });
         attempt(item);
     }
 
@@ -203,20 +213,37 @@
         link.open = nullptr;
     }
 
+    void complete(const std::shared_ptr<pending_call> &item, result<std::string> outcome)
+    {
+        if (std::exchange(item->finished, true))
+            return;
+        loop_.timers().cancel(item->expiry);
+        item->done(std::move(outcome));
+    }
+
+    void expire(const std::shared_ptr<pending_call> &item)
+    {
+        const bool mayHaveRun = item->sent || item->sending;
+        const auto code = mayHaveRun ? result_code::OutcomeUnknown : result_code::NotReady;
+        complete(item, error {code, item->failure, {}, milliseconds {1000}});
+    }
+
     void attempt(const std::shared_ptr<pending_call> &item)
     {
+        if (item->finished)
+            return;
         const auto left = std::chrono::duration_cast<milliseconds>(item->deadline - loop_.now());
-        if (left.count() <= 0) {
-            const auto code = item->sent ? result_code::OutcomeUnknown : result_code::NotReady;
-            return item->done(error {code, item->failure, {}, milliseconds {1000}});
-        }
+        if (left.count() <= 0)
+            return expire(item);
         const auto id = target();
         if (id == 0)
             return retryLater(item);
         const auto limit = std::min(left, options_.attemptTimeout);
         auto used = std::make_shared<connection_ptr>();
         auto sending = connected(id).then([this, item, used, limit](connection_ptr link) {
+            KJ_REQUIRE(!item->finished, "answered already");
             *used = link;
+            item->sending = true;
             auto request = link->remote.relayRequest();
             request.setRequest({reinterpret_cast<const kj::byte *>(item->request.data()),
                                 item->request.size()});
@@ -224,10 +251,12 @@
         });
         tasks_.add(sending.then(
                 [this, item, id](capnp::Response<schema::Voter::RelayResults> answer) {
+                    item->sending = false;
                     finish(item, id, answer);
                 },
                 [this, item, id, used](kj::Exception &&failure) {
                     item->failure = failure.getDescription().cStr();
+                    item->sending = false;
                     item->sent = item->sent || *used != nullptr;
                     lose(id, *used, failure.getDescription());
                     if (leader_ == id)
@@ -248,9 +277,9 @@
         setLeader(id);
         contact_ = loop_.now();
         if (code != result_code::Ok)
-            return item->done(error {code, answer.getDetail().cStr(), {}, {}});
+            return complete(item, error {code, answer.getDetail().cStr(), {}, {}});
         const auto body = answer.getResponse();
-        item->done(std::string(reinterpret_cast<const char *>(body.begin()), body.size()));
+        complete(item, std::string(reinterpret_cast<const char *>(body.begin()), body.size()));
     }
 
     void retryLater(const std::shared_ptr<pending_call> &item)
--- /dev/null
+++ b/packages/cluster/test/address-test.cc
@@ -0,0 +1,19 @@
+#include "cluster/address.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon::cluster;
+
+TEST_GROUP(Address) {};
+
+// Guards against two nodes with one id, or an id that leads to another node.
+TEST(Address, idsAndAddressesFollowFromEachOther)
+{
+    const auto id = idOf("10.1.0.22:8526");
+    CHECK_TRUE(id.has_value());
+    STRCMP_EQUAL("10.1.0.22", ipOf(*id).c_str());
+    STRCMP_EQUAL("10.1.0.22:7000", addressOf(*id, 7000).c_str());
+    CHECK_TRUE(*idOf("10.1.0.23") != *id);
+    CHECK_FALSE(idOf("host:80").has_value());
+    CHECK_FALSE(idOf("").has_value());
+}
