--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -15,8 +15,10 @@
 struct controller_options
 {
     milliseconds lease {5000}; // of what a worker runs
-    milliseconds retry {250}; // between heartbeats of a worker without work to do
+    milliseconds retry {250}; // between heartbeats, with few workers
     milliseconds busyRetry {100}; // while orders or waiting tasks are expected
+    milliseconds retryPerWorker {1}; // both grow with the number of workers, up to maxRetry
+    milliseconds maxRetry {1000};
     milliseconds checkpointEvery {1000}; // work between two checkpoints
     milliseconds stallLimit {2500}; // a run without progress for this time is moved
     milliseconds quarantine {6000}; // of a worker that failed two jobs in a row
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -23,7 +23,7 @@
     amount capacity;
     int penalty = 0; // 0: sound; higher values are used last
     bool trusted = true; // false: no task on its last attempt
-    bool open = true; // false: takes no new task; its runs may still be preempted
+    bool open = true; // false: takes no new task
 };
 
 // Progress of a run as its worker last reported it.
@@ -62,17 +62,6 @@
     void reset() { claims_.clear(); }
 
 private:
-    // Tasks that are placed together: a gang, or one task.
-    struct unit
-    {
-        const job_record *job = nullptr;
-        task_id first; // index of the gang: 0
-        std::vector<std::uint32_t> indexes;
-        const step_spec *spec = nullptr;
-        std::int64_t latestStartMs = 0;
-        bool hopeless = false;
-    };
-
     // Room kept for a unit of priority 0 while the runs in its way are being stopped.
     struct claim
     {
@@ -80,34 +69,8 @@
         time_point made {};
     };
 
-    struct slot
-    {
-        std::size_t worker = 0;
-        std::uint32_t index = 0;
-    };
-
-    struct victim
-    {
-        std::vector<assignment> runs; // a whole gang, or one run
-        amount need; // of one run
-        double cost = 0;
-        bool checkpointable = false;
-    };
-
-    struct pass;
-
-    static std::vector<unit> collectUnits(const schedule_input &input);
-    static void addUnits(const job_record &job, const schedule_input &input,
-                         std::vector<unit> &units);
-    static std::vector<victim> collectVictims(const pass &state);
+    class pass;
 
-    std::optional<std::vector<slot>> place(const pass &state, const unit &item) const;
-    static std::optional<std::vector<slot>> fill(const pass &state, const unit &item,
-                                                 const std::vector<std::size_t> &candidates);
-    static bool usable(const pass &state, const unit &item, std::size_t worker);
-    void start(pass &state, const unit &item, const std::vector<slot> &slots);
-    bool preempt(pass &state, const unit &item);
-    void reserveRack(pass &state, const unit &item) const;
     void dropClaims(const schedule_input &input);
 
     std::map<task_id, claim> claims_;
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -246,7 +246,10 @@
     }
     addStarts(known, orders);
     const bool busy = waiting_ || committing_ || !orders.starts.empty() || !orders.stops.empty();
-    orders.retryMs = (busy ? options_.busyRetry : options_.retry).count();
+    const auto load = options_.retryPerWorker * static_cast<int>(workers_.size());
+    const auto retry = busy ? std::max(options_.busyRetry, load)
+                            : std::max(options_.retry, load * 2);
+    orders.retryMs = std::min(retry, options_.maxRetry).count();
     return orders;
 }
 
--- a/packages/batch/src/preemption.cc
+++ b/packages/batch/src/preemption.cc
@@ -1,6 +1,7 @@
 #include "scheduler-pass.h"
 
 #include <algorithm>
+#include <queue>
 #include <tuple>
 
 namespace persimmon::batch {
@@ -10,6 +11,9 @@
 // An accelerator second is worth this many core seconds.
 constexpr double coresPerAccelerator = 8;
 
+// Added to the lost seconds of each run, so that few stops are preferred over many.
+constexpr double stopSeconds = 0.3;
+
 double coreSeconds(const amount &need, double seconds)
 {
     return (static_cast<double>(need.cpu) / 1000
@@ -19,137 +23,147 @@
 
 } // namespace
 
-// Lists the runs that work of priority 0 may displace, cheapest first.
-std::vector<scheduler::victim> scheduler::collectVictims(const pass &state)
+// Lists the runs that work of priority 0 may displace.
+void scheduler::pass::collectVictims()
 {
-    const auto &input = *state.input;
-    std::vector<victim> victims;
+    victimsReady_ = true;
+    victimsOn_.resize(input_.workers.size());
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::size_t> gangs;
-    for (const auto &view : input.workers) {
-        for (const auto &[task, run] : input.state->runsOn(view.id)) {
-            const auto &job = *input.state->findJob(task.job);
+    for (std::size_t i = 0; i < input_.workers.size(); ++i) {
+        for (const auto &[task, run] : input_.state->runsOn(input_.workers[i].id)) {
+            const auto &job = *input_.state->findJob(task.job);
             const auto &spec = job.spec.steps[task.step];
             if (job.ended() || job.source.priority == 0 || spec.longRunning
-                || job.taskOf(task).done || input.stopping->contains({task, run.run}))
+                || job.taskOf(task).done || input_.stopping->contains({task, run.run}))
                 continue;
-            victim *item = nullptr;
-            if (spec.gang) {
-                const auto [found, added]
-                        = gangs.try_emplace({task.job, task.occurrence, task.step}, victims.size());
-                item = added ? &victims.emplace_back() : &victims[found->second];
-            } else {
-                item = &victims.emplace_back();
-            }
-            item->runs.push_back(run);
-            item->need = spec.charged();
+            auto number = victims_.size();
+            if (spec.gang)
+                number = gangs.try_emplace({task.job, task.occurrence, task.step}, number)
+                                 .first->second;
+            if (number == victims_.size())
+                victims_.emplace_back().need = spec.charged();
+            auto &item = victims_[number];
+            item.runs.push_back(run);
             double seconds = 0;
-            if (const auto found = input.progress->find(task); found != input.progress->end())
-                seconds = std::chrono::duration<double>(input.now - found->second.started).count();
+            const auto progress = input_.progress->find(task);
+            if (progress != input_.progress->end())
+                seconds = std::chrono::duration<double>(input_.now - progress->second.started)
+                                  .count();
             if (spec.checkpointable)
-                seconds = std::min(seconds, static_cast<double>(input.checkpointMs) / 1000);
-            // A small constant prefers few stops over many.
-            item->cost += coreSeconds(spec.need, seconds + 0.3);
+                seconds = std::min(seconds, static_cast<double>(input_.checkpointMs) / 1000);
+            item.cost += coreSeconds(spec.need, seconds + stopSeconds);
+            auto &here = victimsOn_[i];
+            if (here.empty() || here.back() != number)
+                here.push_back(number);
+        }
+    }
+    for (auto &here : victimsOn_)
+        std::ranges::sort(here, {}, [this](std::size_t number) { return victims_[number].cost; });
+}
+
+// Lists what each further task of the unit costs on a worker.
+std::vector<scheduler::pass::offer> scheduler::pass::offersOf(const unit &item,
+                                                              std::size_t worker) const
+{
+    std::vector<offer> offers;
+    if (!usable(item, worker))
+        return offers;
+    const auto need = item.spec->charged();
+    const auto limit = item.spec->maxPerWorker == 0
+            ? static_cast<std::int64_t>(item.indexes.size())
+            : std::int64_t {item.spec->maxPerWorker};
+    auto room = available_[worker];
+    room += leaving_[worker];
+    offer next {worker, 0, {}};
+    std::int64_t made = 0;
+    const auto add = [&] {
+        for (auto times = std::min(timesFitting(room, need), limit); made < times; ++made) {
+            offers.push_back(std::move(next));
+            next = {worker, 0, {}};
+        }
+    };
+    add();
+    for (const auto number : victimsOn_[worker]) {
+        const auto &candidate = victims_[number];
+        if (candidate.taken || made >= limit)
+            continue;
+        for (const auto &run : candidate.runs) {
+            if (byId_.at(run.worker) == worker)
+                room += candidate.need;
         }
+        next.cost += candidate.cost;
+        next.victims.push_back(number);
+        add();
     }
-    return victims;
+    return offers;
 }
 
-// Finds the cheapest runs whose end makes room for the unit, and claims that room.
-bool scheduler::preempt(pass &state, const unit &item)
+// Chooses places for the whole unit at the least cost; empty: there are not enough.
+std::vector<scheduler::pass::offer>
+scheduler::pass::cheapest(const unit &item, const std::vector<std::size_t> &from) const
 {
-    if (!state.victimsReady) {
-        state.victims = collectVictims(state);
-        state.victimsReady = true;
+    // The offers of one worker are taken in their order.
+    std::vector<std::vector<offer>> offers;
+    using entry = std::tuple<double, std::size_t, std::size_t>; // cost, list, position
+    std::priority_queue<entry, std::vector<entry>, std::greater<>> heads;
+    for (const auto worker : from) {
+        auto list = offersOf(item, worker);
+        if (list.empty())
+            continue;
+        heads.emplace(list.front().cost, offers.size(), 0);
+        offers.push_back(std::move(list));
     }
-    const auto &workers = state.input->workers;
-    std::map<std::string, std::size_t> byId;
-    for (std::size_t i = 0; i < workers.size(); ++i)
-        byId[workers[i].id] = i;
+    std::vector<offer> chosen;
+    while (!heads.empty() && chosen.size() < item.indexes.size()) {
+        const auto [cost, list, position] = heads.top();
+        heads.pop();
+        chosen.push_back(offers[list][position]);
+        if (position + 1 < offers[list].size())
+            heads.emplace(offers[list][position + 1].cost, list, position + 1);
+    }
+    if (chosen.size() < item.indexes.size())
+        chosen.clear();
+    return chosen;
+}
 
-    struct plan_choice
-    {
-        std::vector<const victim *> stopped;
-        std::vector<slot> slots;
+// Orders the cheapest stops that make room for the unit, and claims that room.
+bool scheduler::pass::preempt(const unit &item)
+{
+    if (!victimsReady_)
+        collectVictims();
+    const auto costOf = [this](const std::vector<offer> &offers) {
+        std::set<std::size_t> numbers;
+        for (const auto &place : offers)
+            numbers.insert(place.victims.begin(), place.victims.end());
         double cost = 0;
+        for (const auto number : numbers)
+            cost += victims_[number].cost;
+        return cost;
     };
-    std::optional<plan_choice> best;
-    const auto attempt = [&](const std::string *rack) {
-        auto trial = state;
-        // Runs being stopped leave their room soon.
-        for (std::size_t i = 0; i < workers.size(); ++i) {
-            for (const auto &[task, run] : state.input->state->runsOn(workers[i].id)) {
-                if (state.input->stopping->contains({task, run.run})
-                    || state.stopped.contains({task, run.run}))
-                    trial.available[i]
-                            += state.input->state->findJob(task.job)->spec.steps[task.step].charged();
-            }
-        }
-        if (rack != nullptr) {
-            for (const auto &[name, members] : state.racks) {
-                if (name != *rack)
-                    trial.reservedRacks.insert(name);
-            }
-        }
-        std::vector<std::pair<double, const victim *>> order;
-        for (const auto &candidate : state.victims) {
-            if (state.stopped.contains({candidate.runs.front().task, candidate.runs.front().run}))
-                continue;
-            std::int64_t gained = 0;
-            for (const auto &run : candidate.runs) {
-                const auto worker = byId.at(run.worker);
-                if ((rack == nullptr || workers[worker].rack == *rack)
-                    && usable(trial, item, worker))
-                    gained += 1 + candidate.need.accelerators * 8 + candidate.need.cpu / 1000;
-            }
-            if (gained > 0)
-                order.emplace_back(candidate.cost / static_cast<double>(gained), &candidate);
+    std::vector<offer> best;
+    if (item.oneRack()) {
+        for (const auto &[rack, members] : racks_) {
+            auto offers = cheapest(item, members);
+            if (!offers.empty() && (best.empty() || costOf(offers) < costOf(best)))
+                best = std::move(offers);
         }
-        std::ranges::sort(order);
-        plan_choice choice;
-        auto next = order.begin();
-        for (;;) {
-            if (auto slots = place(trial, item)) {
-                choice.slots = std::move(*slots);
-                break;
-            }
-            if (next == order.end() || (best && choice.cost >= best->cost))
-                return;
-            for (const auto &run : next->second->runs)
-                trial.available[byId.at(run.worker)] += next->second->need;
-            choice.cost += next->second->cost;
-            choice.stopped.push_back(next->second);
-            ++next;
-        }
-        // Victims on workers that the unit doesn't use are spared.
-        std::erase_if(choice.stopped, [&](const victim *candidate) {
-            const bool needed = std::ranges::any_of(candidate->runs, [&](const assignment &run) {
-                return std::ranges::any_of(choice.slots, [&](const slot &place) {
-                    return workers[place.worker].id == run.worker;
-                });
-            });
-            if (!needed)
-                choice.cost -= candidate->cost;
-            return !needed;
-        });
-        if (!best || choice.cost < best->cost)
-            best = std::move(choice);
-    };
-    if (item.spec->gang && item.spec->sameRack && item.indexes.size() > 1) {
-        for (const auto &[rack, members] : state.racks)
-            attempt(&rack);
     }
-    if (!best)
-        attempt(nullptr);
-    if (!best)
+    if (best.empty())
+        best = cheapest(item, all_);
+    if (best.empty())
         return false;
     auto &kept = claims_[item.first];
-    kept.made = state.input->now;
-    for (const auto &place : best->slots)
-        kept.room[workers[place.worker].id] += item.spec->charged();
-    for (const auto *chosen : best->stopped) {
-        for (const auto &run : chosen->runs) {
-            state.stopped.insert({run.task, run.run});
-            state.output.preemptions.push_back(run);
+    kept.made = input_.now;
+    for (const auto &place : best) {
+        kept.room[input_.workers[place.worker].id] += item.spec->charged();
+        for (const auto number : place.victims) {
+            auto &chosen = victims_[number];
+            if (std::exchange(chosen.taken, true))
+                continue;
+            for (const auto &run : chosen.runs) {
+                output_.preemptions.push_back(run);
+                leaving_[byId_.at(run.worker)] += chosen.need;
+            }
         }
     }
     return true;
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -1,22 +1,90 @@
 #pragma once
 
-#include "batch/scheduler.h"
+#include "units.h"
+
+#include <unordered_map>
 
 namespace persimmon::batch {
 
-// State of one scheduling pass.
-struct scheduler::pass
+// One scheduling pass.
+class scheduler::pass
 {
-    const schedule_input *input = nullptr;
-    std::vector<amount> available; // by worker; negative where room is claimed but not yet free
+public:
+    pass(const schedule_input &input, std::map<task_id, claim> &claims);
+
+    schedule_output run();
+
+private:
+    using unit = detail::unit;
+
+    struct slot
+    {
+        std::size_t worker = 0;
+        std::uint32_t index = 0;
+    };
+
+    // A run, or all runs of a gang, that may be stopped for work of priority 0.
+    struct victim
+    {
+        std::vector<assignment> runs;
+        amount need; // of one run
+        double cost = 0; // core seconds of work that is lost
+        bool taken = false;
+    };
+
+    // One more task of a unit on a worker, once more victims have been stopped there.
+    struct offer
+    {
+        std::size_t worker = 0;
+        double cost = 0;
+        std::vector<std::size_t> victims;
+    };
+
+    // A need that found no place; whatever needs at least as much finds none either.
+    struct misfit
+    {
+        const std::string *pool = nullptr;
+        amount need;
+        std::size_t count = 0;
+        bool oneRack = false;
+    };
+
+    // scheduler-pass.cc
+    void consider(const unit &item);
+    std::vector<slot> place(const unit &item) const;
+    std::vector<slot> placeInRack(const unit &item, bool &possible) const;
+    std::vector<std::size_t> candidates(const unit &item,
+                                        const std::vector<std::size_t> &from) const;
+    std::vector<slot> fill(const unit &item, const std::vector<std::size_t> &from) const;
+    bool usable(const unit &item, std::size_t worker) const;
+    bool dominated(const unit &item) const;
+    void noteMisfit(const unit &item);
+    void start(const unit &item, const std::vector<slot> &slots);
+    void reserveRack(const unit &item);
+    void apply(const claim &item, int sign);
+
+    // preemption.cc
+    void collectVictims();
+    bool preempt(const unit &item);
+    std::vector<offer> offersOf(const unit &item, std::size_t worker) const;
+    std::vector<offer> cheapest(const unit &item, const std::vector<std::size_t> &from) const;
+
+    const schedule_input &input_;
+    std::map<task_id, claim> &claims_;
+    std::vector<amount> available_; // by worker; negative where room is claimed but not yet free
+    std::vector<amount> leaving_; // room of runs that are being stopped
     std::vector<std::map<std::pair<std::string, std::uint32_t>, std::uint32_t>>
-            perStep; // by worker: tasks of (job and occurrence, step)
-    std::map<std::string, std::vector<std::size_t>> racks;
-    std::set<std::string> reservedRacks;
-    std::vector<victim> victims;
-    bool victimsReady = false;
-    std::set<std::pair<task_id, std::uint32_t>> stopped; // in this pass
-    schedule_output output;
+            perStep_; // by worker: tasks of (job and occurrence, step)
+    std::unordered_map<std::string, std::size_t> byId_;
+    std::map<std::string, std::vector<std::size_t>> racks_;
+    std::vector<std::size_t> all_;
+    std::set<std::string> reservedRacks_;
+    std::vector<misfit> misfits_;
+    std::vector<victim> victims_;
+    std::vector<std::vector<std::size_t>> victimsOn_; // by worker
+    bool victimsReady_ = false;
+    std::size_t preemptions_ = 0;
+    schedule_output output_;
 };
 
 } // namespace persimmon::batch
--- /dev/null
+++ b/packages/batch/src/units.cc
@@ -0,0 +1,100 @@
+#include "units.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace persimmon::batch::detail {
+
+namespace {
+
+// A job that is later than this many objectives earns nothing any more.
+constexpr std::int64_t lateFactor = 3;
+
+bool isReady(const job_record &job, std::uint32_t occurrence, const step_spec &spec)
+{
+    return std::ranges::all_of(spec.dependsOn, [&](std::uint32_t earlier) {
+        return job.occurrences[occurrence][earlier].done();
+    });
+}
+
+void addGang(const step_state &step, unit item, std::vector<unit> &units)
+{
+    if (step.activeCount > 0)
+        return;
+    item.lastAttempt = step.failedRuns > 0
+            && step.failedRuns + 1 >= item.job->source.attempts;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        item.indexes.push_back(i);
+        if (step.tasks[i].failures > 0)
+            item.avoid.push_back(step.tasks[i].failedOn);
+    }
+    units.push_back(std::move(item));
+}
+
+void addTasks(const step_state &step, const unit &base, std::vector<unit> &units)
+{
+    unit fresh = base;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        const auto &task = step.tasks[i];
+        if (task.done || task.active)
+            continue;
+        if (task.failures == 0) {
+            fresh.indexes.push_back(i);
+            continue;
+        }
+        auto &single = units.emplace_back(base);
+        single.first.index = i;
+        single.indexes = {i};
+        single.avoid = {task.failedOn};
+        single.lastAttempt = task.failures + 1 >= base.job->source.attempts;
+    }
+    if (fresh.indexes.empty())
+        return;
+    fresh.first.index = fresh.indexes.front();
+    units.push_back(std::move(fresh));
+}
+
+void addUnits(const job_record &job, const schedule_input &input, std::vector<unit> &units)
+{
+    const auto objective = job.objectiveMs();
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        const auto due = std::max(job.acceptedMs,
+                                  job.spec.firstDueMs
+                                          + static_cast<std::int64_t>(k) * job.spec.intervalMs);
+        if (due > input.wallMs)
+            break;
+        for (std::uint32_t s = 0; s < job.occurrences[k].size(); ++s) {
+            const auto &spec = job.spec.steps[s];
+            const auto &step = job.occurrences[k][s];
+            if (step.done() || !isReady(job, k, spec))
+                continue;
+            unit base;
+            base.job = &job;
+            base.spec = &spec;
+            base.first = {job.id, k, s, 0};
+            base.latestStartMs = due + objective - spec.estimateMs;
+            base.hopeless = input.wallMs > due + lateFactor * objective;
+            if (spec.gang)
+                addGang(step, std::move(base), units);
+            else
+                addTasks(step, base, units);
+        }
+    }
+}
+
+} // namespace
+
+std::vector<unit> collectUnits(const schedule_input &input)
+{
+    std::vector<unit> units;
+    input.state->forEachOpenJob([&](const job_record &job) {
+        if (!job.ended() && !job.source.needsAdvice)
+            addUnits(job, input, units);
+    });
+    std::ranges::stable_sort(units, {}, [](const unit &item) {
+        return std::tuple(item.hopeless, item.job->source.priority, item.latestStartMs);
+    });
+    return units;
+}
+
+} // namespace persimmon::batch::detail
