--- a/packages/apps/src/daemon_arguments.cc
+++ b/packages/apps/src/daemon_arguments.cc
@@ -56,8 +56,7 @@
 
 result<std::optional<daemon_arguments>> readDaemonArguments(std::span<const std::string> arguments)
 {
-    TCLAP::CmdLine line("Scheduler and request proxy", ' ',
-                        std::string(programVersion));
+    TCLAP::CmdLine line("Scheduler and request proxy", ' ', std::string(programVersion));
     line.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> role("", "role", "role of this process", false, "",
                                       "control|entry|scheduler|gateway", line);
--- a/packages/apps/src/persimmond/main.cc
+++ b/packages/apps/src/persimmond/main.cc
@@ -89,7 +89,8 @@
                                                : apps::resultCodesPage());
         return 0;
     }
-    if (arguments.role == apps::daemon_role::Scheduler || arguments.role == apps::daemon_role::Gateway)
+    if (arguments.role == apps::daemon_role::Scheduler
+        || arguments.role == apps::daemon_role::Gateway)
         return runPlatform(arguments);
     const auto role = arguments.role == apps::daemon_role::Entry ? instance_role::Entry
                                                                  : instance_role::Control;
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -6,8 +6,8 @@
 #include "batch/worker.h"
 
 #include <deque>
-#include <memory>
 #include <functional>
+#include <memory>
 #include <set>
 
 namespace persimmon::batch {
@@ -53,7 +53,7 @@
     // Takes one heartbeat. The answer comes after the reported ends are durable. Fails with
     // NotLeader, or the error of the commit.
     void heartbeat(time_point now, std::int64_t wallMs, const worker_report &report,
-                   orders_callback done);
+                   const orders_callback &done);
 
     // Takes the farewell of a worker that has left.
     void leave(time_point now, const std::string &worker);
--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -68,8 +68,8 @@
 {
 };
 
-using command = std::variant<no_op, set_configuration, accept_job, cancel_job, start_runs,
-                             end_runs, forget_jobs>;
+using command = std::variant<no_op, set_configuration, accept_job, cancel_job, start_runs, end_runs,
+                             forget_jobs>;
 
 struct task_state
 {
--- a/packages/batch/include/batch/service.h
+++ b/packages/batch/include/batch/service.h
@@ -32,10 +32,10 @@
     void find(const caller &from, callback<job_state> done);
 
     // Cancels a job; one that has ended stays as it is. Fails like find().
-    void cancel(std::int64_t wallMs, const caller &from, std::function<void(status)> done);
+    void cancel(std::int64_t wallMs, const caller &from, const std::function<void(status)> &done);
 
     // Returns how many accepted jobs of the queue have not begun. Fails like submit().
-    void countWaiting(const caller &from, callback<std::size_t> done);
+    void countWaiting(const caller &from, const callback<std::size_t> &done);
 
     // Puts a configuration in force. One that is not newer is accepted without effect. Fails with
     // InvalidTable, or OutcomeUnknown.
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -69,6 +69,7 @@
     if (ends.empty())
         return;
     std::vector<task_id> tasks;
+    tasks.reserve(ends.size());
     for (const auto &end : ends)
         tasks.push_back(end.task);
     commitEnds(std::move(ends), wallMs,
@@ -126,8 +127,9 @@
         view.capacity = known.report.capacity;
         const bool quarantined = known.closedUntil > now;
         closed += quarantined ? 1 : 0;
-        view.penalty = quarantined ? 3 : static_cast<int>(std::min<std::size_t>(
-                                                 2, known.failedJobs.size()));
+        view.penalty = quarantined
+                ? 3
+                : static_cast<int>(std::min<std::size_t>(2, known.failedJobs.size()));
         view.trusted = known.failedJobs.empty() && !quarantined;
         view.open = !silent && !known.report.draining && !known.left && !quarantined;
         views.push_back(std::move(view));
@@ -175,11 +177,12 @@
     waiting_ = output.waiting > 0;
     for (const auto &run : output.preemptions) {
         stopping_.insert({run.task, run.run});
-        logEvent("task.preempted", {{"job", run.task.job},
-                                    {"step", run.task.step},
-                                    {"index", run.task.index},
-                                    {"run", run.run},
-                                    {"worker", run.worker}});
+        logEvent("task.preempted",
+                 {{"job", run.task.job},
+                  {"step", run.task.step},
+                  {"index", run.task.index},
+                  {"run", run.run},
+                  {"worker", run.worker}});
     }
     // Stops whose runs have ended are not needed any more.
     std::erase_if(stopping_, [this](const run_key &key) {
@@ -194,11 +197,12 @@
 void controller::proposeStarts(std::vector<assignment> runs)
 {
     for (const auto &run : runs)
-        logEvent("task.placed", {{"job", run.task.job},
-                                 {"step", run.task.step},
-                                 {"index", run.task.index},
-                                 {"run", run.run},
-                                 {"worker", run.worker}});
+        logEvent("task.placed",
+                 {{"job", run.task.job},
+                  {"step", run.task.step},
+                  {"index", run.task.index},
+                  {"run", run.run},
+                  {"worker", run.worker}});
     committing_ = true;
     propose_(start_runs {std::move(runs)},
              [this, alive = std::weak_ptr<int>(alive_)](const status &done) {
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -16,6 +16,14 @@
             + std::to_string(task.index);
 }
 
+// Tells whether a list of ends names a run.
+template <typename End>
+bool contains(const std::vector<End> &ends, const assignment &run)
+{
+    return std::ranges::any_of(
+            ends, [&run](const End &end) { return end.task == run.task && end.run == run.run; });
+}
+
 } // namespace
 
 controller::controller(const ledger &state, controller_options options, propose_function propose)
@@ -56,7 +64,7 @@
 }
 
 void controller::heartbeat(time_point now, std::int64_t wallMs, const worker_report &report,
-                           orders_callback done)
+                           const orders_callback &done)
 {
     if (term_ == 0)
         return done(error {result_code::NotLeader, "not the leader", {}, {}});
@@ -71,10 +79,11 @@
     if (reborn) {
         if (known.report.born == 0 || known.report.draining != report.draining)
             dirty_ = true;
-        logEvent("worker.joined", {{"worker", report.id},
-                                   {"born", report.born},
-                                   {"earlier_born", known.report.born},
-                                   {"rack", report.rack}});
+        logEvent("worker.joined",
+                 {{"worker", report.id},
+                  {"born", report.born},
+                  {"earlier_born", known.report.born},
+                  {"rack", report.rack}});
         known = {};
         known.firstHeard = now;
     } else if (report.draining && !known.report.draining) {
@@ -155,12 +164,13 @@
 void controller::noteEnd(worker_state &known, const ended_task &row, time_point now)
 {
     stopping_.erase({row.task, row.run});
-    logEvent("task.ended", {{"job", row.task.job},
-                            {"task", nameOf(row.task)},
-                            {"run", row.run},
-                            {"worker", known.report.id},
-                            {"how", toName(row.kind)},
-                            {"outcome", "reported"}});
+    logEvent("task.ended",
+             {{"job", row.task.job},
+              {"task", nameOf(row.task)},
+              {"run", row.run},
+              {"worker", known.report.id},
+              {"how", toName(row.kind)},
+              {"outcome", "reported"}});
     if (row.kind == end_kind::Done) {
         known.failedJobs.clear();
         known.everDone = true;
@@ -172,9 +182,10 @@
     if (known.failedJobs.size() < quarantineAfterJobs)
         return;
     known.closedUntil = now + options_.quarantine;
-    logEvent("worker.quarantined", {{"worker", known.report.id},
-                                    {"failed_jobs", known.failedJobs.size()},
-                                    {"for_ms", options_.quarantine.count()}});
+    logEvent("worker.quarantined",
+             {{"worker", known.report.id},
+              {"failed_jobs", known.failedJobs.size()},
+              {"for_ms", options_.quarantine.count()}});
 }
 
 // Runs that the ledger has on the worker but the worker doesn't list. Either the order has not
@@ -192,8 +203,7 @@
         }
         const auto running = known.runs.find(task);
         const bool listed = running != known.runs.end() && running->second.run == run.run;
-        const bool ended = std::ranges::any_of(
-                ends, [&](const run_end &end) { return end.task == task && end.run == run.run; });
+        const bool ended = contains(ends, run);
         if (run.born > report.born || listed || ended)
             continue;
         auto &[number, since] = known.missing[task];
@@ -210,16 +220,15 @@
                             std::function<void(status)> done)
 {
     propose_(end_runs {std::move(ends), wallMs},
-             [this, done = std::move(done), alive = std::weak_ptr<int>(alive_)](
-                     const status &committed) {
+             [this, done = std::move(done),
+              alive = std::weak_ptr<int>(alive_)](const status &committed) {
                  if (!alive.expired())
                      dirty_ = true;
                  done(committed);
              });
 }
 
-bool controller::shouldStop(const worker_state &known, const task_id &task,
-                            std::uint32_t run) const
+bool controller::shouldStop(const worker_state &known, const task_id &task, std::uint32_t run) const
 {
     const auto *job = state_.findJob(task.job);
     if (job == nullptr || job->ended())
@@ -238,8 +247,8 @@
         const bool ours = found != runs.end() && found->second.run == row.run
                 && found->second.born == known.report.born;
         const auto *job = state_.findJob(row.task.job);
-        const bool unwanted = job == nullptr || job->ended()
-                || stopping_.contains({row.task, row.run});
+        const bool unwanted
+                = job == nullptr || job->ended() || stopping_.contains({row.task, row.run});
         // A gang whose end is durable ends on its other workers by itself.
         if (!ours || (unwanted && !(job != nullptr && job->state == job_state::Done)))
             orders.stops.push_back({row.task, row.run});
@@ -247,8 +256,8 @@
     addStarts(known, orders);
     const bool busy = waiting_ || committing_ || !orders.starts.empty() || !orders.stops.empty();
     const auto load = options_.retryPerWorker * static_cast<int>(workers_.size());
-    const auto retry = busy ? std::max(options_.busyRetry, load)
-                            : std::max(options_.retry, load * 2);
+    const auto retry
+            = busy ? std::max(options_.busyRetry, load) : std::max(options_.retry, load * 2);
     orders.retryMs = std::min(retry, options_.maxRetry).count();
     return orders;
 }
@@ -263,10 +272,7 @@
             continue;
         if (shouldStop(known, task, run.run))
             continue;
-        const bool ended = std::ranges::any_of(known.report.ended, [&](const ended_task &row) {
-            return row.task == task && row.run == run.run;
-        });
-        if (ended)
+        if (contains(known.report.ended, run))
             continue;
         const auto &job = *state_.findJob(task.job);
         const auto &step = job.stepOf(task);
@@ -278,11 +284,12 @@
                 saved = std::max(saved, member.saved);
         }
         orders.starts.push_back({task, run.run, job.spec.payload, std::move(saved)});
-        logEvent("task.start_sent", {{"job", task.job},
-                                     {"task", nameOf(task)},
-                                     {"run", run.run},
-                                     {"worker", known.report.id},
-                                     {"token", term_}});
+        logEvent("task.start_sent",
+                 {{"job", task.job},
+                  {"task", nameOf(task)},
+                  {"run", run.run},
+                  {"worker", known.report.id},
+                  {"token", term_}});
     }
 }
 
@@ -298,11 +305,12 @@
         const auto left = static_cast<std::int64_t>(job->spec.steps[task.step].estimateMs)
                 * (100 - std::min(100U, watch.percent)) / 100;
         if (left > *known.report.remainingMs && stopping_.insert({task, watch.run}).second)
-            logEvent("task.moved", {{"task", nameOf(task)},
-                                    {"job", task.job},
-                                    {"worker", known.report.id},
-                                    {"why", "draining"},
-                                    {"left_ms", left}});
+            logEvent("task.moved",
+                     {{"task", nameOf(task)},
+                      {"job", task.job},
+                      {"worker", known.report.id},
+                      {"why", "draining"},
+                      {"left_ms", left}});
     }
 }
 
--- a/packages/batch/src/model.cc
+++ b/packages/batch/src/model.cc
@@ -65,9 +65,9 @@
 
 std::string_view toName(end_kind kind)
 {
-    static constexpr std::array<std::string_view, 9> names {
-            "done", "failed", "stopped", "lapsed", "broken", "alone", "refused", "lost",
-            "not_started"};
+    static constexpr std::array<std::string_view, 9> names {"done",    "failed", "stopped",
+                                                            "lapsed",  "broken", "alone",
+                                                            "refused", "lost",   "not_started"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/packages/batch/src/preemption.cc
+++ b/packages/batch/src/preemption.cc
@@ -33,8 +33,8 @@
         for (const auto &[task, run] : input_.state->runsOn(input_.workers[i].id)) {
             const auto &job = *input_.state->findJob(task.job);
             const auto &spec = job.spec.steps[task.step];
-            if (job.ended() || job.source.priority == 0 || spec.longRunning
-                || job.taskOf(task).done || input_.stopping->contains({task, run.run}))
+            if (job.ended() || job.source.priority == 0 || spec.longRunning || job.taskOf(task).done
+                || input_.stopping->contains({task, run.run}))
                 continue;
             auto number = victims_.size();
             if (spec.gang)
@@ -69,9 +69,8 @@
     if (!usable(item, worker))
         return offers;
     const auto need = item.spec->charged();
-    const auto limit = item.spec->maxPerWorker == 0
-            ? static_cast<std::int64_t>(item.indexes.size())
-            : std::int64_t {item.spec->maxPerWorker};
+    const auto limit = item.spec->maxPerWorker == 0 ? static_cast<std::int64_t>(item.indexes.size())
+                                                    : std::int64_t {item.spec->maxPerWorker};
     auto room = available_[worker];
     room += leaving_[worker];
     offer next {worker, 0, {}};
@@ -99,8 +98,8 @@
 }
 
 // Chooses places for the whole unit at the least cost; empty: there are not enough.
-std::vector<scheduler::pass::offer>
-scheduler::pass::cheapest(const unit &item, const std::vector<std::size_t> &from) const
+std::vector<scheduler::pass::offer> scheduler::pass::cheapest(
+        const unit &item, const std::vector<std::size_t> &from) const
 {
     // The offers of one worker are taken in their order.
     std::vector<std::vector<offer>> offers;
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -150,8 +150,7 @@
     const auto &rack = item.spec->preferredRack;
     std::ranges::stable_sort(found, {}, [&](std::size_t worker) {
         const auto &view = workers[worker];
-        const bool far = !rack.empty()
-                && std::ranges::find(view.labels, rack) == view.labels.end();
+        const bool far = !rack.empty() && std::ranges::find(view.labels, rack) == view.labels.end();
         return std::tuple(far, view.penalty, available_[worker].accelerators,
                           available_[worker].cpu);
     });
@@ -159,8 +158,8 @@
 }
 
 // Places tasks on the workers in their order; a gang as a whole or not at all.
-std::vector<scheduler::pass::slot>
-scheduler::pass::fill(const unit &item, const std::vector<std::size_t> &from) const
+std::vector<scheduler::pass::slot> scheduler::pass::fill(const unit &item,
+                                                         const std::vector<std::size_t> &from) const
 {
     const auto need = item.spec->charged();
     std::vector<slot> slots;
--- a/packages/batch/src/service.cc
+++ b/packages/batch/src/service.cc
@@ -28,8 +28,7 @@
 void logRequest(std::string_view event, const caller &from, std::string_view id,
                 std::uint64_t version, std::string_view outcome)
 {
-    logEvent(event,
-             {{"job", id}, {"path", from.path}, {"version", version}, {"outcome", outcome}});
+    logEvent(event, {{"job", id}, {"path", from.path}, {"version", version}, {"outcome", outcome}});
 }
 
 } // namespace
@@ -108,7 +107,9 @@
         logRequest("job.refused", from, {}, version, describe(errorOf(where).code).name);
         return done(errorOf(where));
     }
-    const auto &[source, tenantName, id] = valueOf(where);
+    const auto *source = valueOf(where).found;
+    const auto &tenantName = valueOf(where).tenant;
+    const auto &id = valueOf(where).id;
     if (auto checked = checkJob(spec); failed(checked)) {
         logRequest("job.refused", from, id, version, errorOf(checked).detail);
         return done(checked);
@@ -117,13 +118,14 @@
         logRequest("job.accepted", from, id, version, "known");
         return done(std::monostate {});
     }
-    logEvent("job.proposed", {{"job", id},
-                              {"tenant", tenantName},
-                              {"queue", source->name},
-                              {"steps", spec.steps.size()},
-                              {"tasks", spec.steps.front().count},
-                              {"accelerators", spec.steps.front().need.accelerators},
-                              {"version", version}});
+    logEvent("job.proposed",
+             {{"job", id},
+              {"tenant", tenantName},
+              {"queue", source->name},
+              {"steps", spec.steps.size()},
+              {"tasks", spec.steps.front().count},
+              {"accelerators", spec.steps.front().need.accelerators},
+              {"version", version}});
     propose_(accept_job {id, tenantName, *source, std::move(spec), wallMs},
              [this, id, done = std::move(done)](const status &committed) {
                  logEvent("job.accepted",
@@ -154,10 +156,10 @@
     });
 }
 
-void service::cancel(std::int64_t wallMs, const caller &from, std::function<void(status)> done)
+void service::cancel(std::int64_t wallMs, const caller &from,
+                     const std::function<void(status)> &done)
 {
-    find(from, [this, wallMs, path = std::string(from.path),
-                done = std::move(done)](const result<job_state> &found) {
+    find(from, [this, wallMs, path = std::string(from.path), done](const result<job_state> &found) {
         if (failed(found))
             return done(errorOf(found));
         if (valueOf(found) != job_state::Queued && valueOf(found) != job_state::Running)
@@ -174,7 +176,7 @@
     });
 }
 
-void service::countWaiting(const caller &from, callback<std::size_t> done)
+void service::countWaiting(const caller &from, const callback<std::size_t> &done)
 {
     const auto where = resolve(from);
     if (failed(where))
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -21,8 +21,7 @@
 {
     if (step.activeCount > 0)
         return;
-    item.lastAttempt = step.failedRuns > 0
-            && step.failedRuns + 1 >= item.job->source.attempts;
+    item.lastAttempt = step.failedRuns > 0 && step.failedRuns + 1 >= item.job->source.attempts;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
         item.indexes.push_back(i);
         if (step.tasks[i].failures > 0)
--- a/packages/batch/test/fixture.h
+++ b/packages/batch/test/fixture.h
@@ -20,11 +20,10 @@
                       commit(value);
                       done(std::monostate {});
                   })
-        , queues(state, workers,
-                 [this](const command &value, std::function<void(status)> done) {
-                     commit(value);
-                     done(std::monostate {});
-                 })
+        , queues(state, workers, [this](const command &value, std::function<void(status)> done) {
+            commit(value);
+            done(std::monostate {});
+        })
     {
         workers.beginTerm(1, now);
     }
@@ -58,11 +57,11 @@
         value.version = ++version;
         value.document = "{}";
         value.queues.push_back({"q" + std::to_string(priority), "host",
-                                "/q" + std::to_string(priority) + "/", "pool", priority, attempts, 3.0,
-                                1000, true, false});
+                                "/q" + std::to_string(priority) + "/", "pool", priority, attempts,
+                                3.0, 1000, true, false});
         if (priority != 2)
-            value.queues.push_back({"q2", "host", "/q2/", "pool", 2, attempts, 3.0, 1000, true,
-                                    false});
+            value.queues.push_back(
+                    {"q2", "host", "/q2/", "pool", 2, attempts, 3.0, 1000, true, false});
         commit(set_configuration {value});
     }
 
@@ -72,7 +71,8 @@
         spec.payload = "work";
         spec.steps = {step};
         status outcome = error {};
-        queues.submit(wallMs, {"host", path, ""}, spec, [&](const status &done) { outcome = done; });
+        queues.submit(wallMs, {"host", path, ""}, spec,
+                      [&](const status &done) { outcome = done; });
         CHECK_FALSE(failed(outcome));
     }
 
--- a/packages/batch/test/ledger-test.cc
+++ b/packages/batch/test/ledger-test.cc
@@ -26,7 +26,10 @@
         state.apply(end_runs {{{{"a", 0, 0, index}, run, kind, saved}}, 20});
     }
 
-    const task_state &task(std::uint32_t index) { return state.findJob("a")->taskOf({"a", 0, 0, index}); }
+    const task_state &task(std::uint32_t index)
+    {
+        return state.findJob("a")->taskOf({"a", 0, 0, index});
+    }
 };
 
 // Guards against a second run beside the first.
--- a/packages/batch/test/scheduler-test.cc
+++ b/packages/batch/test/scheduler-test.cc
@@ -73,9 +73,9 @@
     step.gang = true;
     leader.submit("/q1/a", step);
     leader.advance(100);
-    leader.commit(end_runs {{{{"a", 0, 0, 0}, 1, end_kind::Stopped, ""},
-                             {{"a", 0, 0, 1}, 1, end_kind::Broken, ""}},
-                            leader.wallMs});
+    leader.commit(end_runs {
+            {{{"a", 0, 0, 0}, 1, end_kind::Stopped, ""}, {{"a", 0, 0, 1}, 1, end_kind::Broken, ""}},
+            leader.wallMs});
     leader.advance(100);
     CHECK_EQUAL(2, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
     CHECK_EQUAL(2, leader.state.findJob("a")->taskOf({"a", 0, 0, 1}).run);
@@ -170,8 +170,8 @@
         if (!orders.stops.empty())
             freed = id;
         for (const auto &order : orders.stops)
-            leader.commit(end_runs {{{order.task, order.run, end_kind::Stopped, ""}},
-                                    leader.wallMs});
+            leader.commit(
+                    end_runs {{{order.task, order.run, end_kind::Stopped, ""}}, leader.wallMs});
     }
     CHECK_EQUAL(2, stops);
     leader.advance(100);
--- a/packages/batch/test/service-test.cc
+++ b/packages/batch/test/service-test.cc
@@ -97,8 +97,9 @@
     submitCode({"host", "/q1/b", ""});
     const auto waiting = [this] {
         std::size_t count = 99;
-        leader.queues.countWaiting({"host", "/q1/", ""},
-                                   [&](const result<std::size_t> &found) { count = valueOf(found); });
+        leader.queues.countWaiting({"host", "/q1/", ""}, [&](const result<std::size_t> &found) {
+            count = valueOf(found);
+        });
         return count;
     };
     CHECK_EQUAL(2, waiting());
--- a/packages/cluster/include/cluster/member.h
+++ b/packages/cluster/include/cluster/member.h
@@ -35,7 +35,8 @@
     using relay_handler = std::function<void(std::string request, relay_client::completion done)>;
 
     // Opens the files and listens. Fails with StorageFailed or CorruptFile.
-    static result<std::unique_ptr<member>> open(wire::event_loop &loop, const member_options &options,
+    static result<std::unique_ptr<member>> open(wire::event_loop &loop,
+                                                const member_options &options,
                                                 consensus::state_machine &machine);
 
     virtual ~member() = default;
--- a/packages/cluster/src/member.cc
+++ b/packages/cluster/src/member.cc
@@ -100,8 +100,8 @@
         nodeOptions.electionTimeout = options_.electionTimeout;
         nodeOptions.heartbeat = options_.heartbeat;
         nodeOptions.seed = std::random_device {}();
-        auto opened = consensus::node::open(nodeOptions, *storage_, transport_, machine,
-                                            loop_.now());
+        auto opened
+                = consensus::node::open(nodeOptions, *storage_, transport_, machine, loop_.now());
         if (failed(opened))
             return errorOf(opened);
         node_ = std::move(valueOf(opened));
@@ -192,8 +192,7 @@
         });
         KJ_IF_MAYBE (exception, failure) {
             return error {result_code::StorageFailed,
-                          "can't listen on " + address + ": "
-                                  + exception->getDescription().cStr(),
+                          "can't listen on " + address + ": " + exception->getDescription().cStr(),
                           {},
                           {}};
         }
@@ -223,8 +222,9 @@
         const auto state = node_->currentStatus();
         const bool leads = state.role == consensus::node_role::Leader && serving();
         const auto term = leads ? state.term : 0;
-        if (term == leadingTerm_ || (state.role == consensus::node_role::Leader && term == 0
-                                     && state.term == leadingTerm_))
+        if (term == leadingTerm_
+            || (state.role == consensus::node_role::Leader && term == 0
+                && state.term == leadingTerm_))
             return;
         leadingTerm_ = term;
         leadingSince_ = loop_.now();
@@ -283,9 +283,9 @@
     {
         return [this, event, id](const result<consensus::byte_buffer> &changed) {
             changing_ = false;
-            logEvent(event, {{"node", ipOf(id)},
-                             {"outcome",
-                              failed(changed) ? describe(errorOf(changed).code).name : "ok"}});
+            logEvent(event,
+                     {{"node", ipOf(id)},
+                      {"outcome", failed(changed) ? describe(errorOf(changed).code).name : "ok"}});
         };
     }
 
@@ -350,8 +350,7 @@
 {
     const auto bytes = context.getParams().getRequest();
     auto pair = kj::newPromiseAndFulfiller<void>();
-    auto fulfiller
-            = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(pair.fulfiller));
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(pair.fulfiller));
     owner_.relay(std::string(reinterpret_cast<const char *>(bytes.begin()), bytes.size()),
                  [this, context, fulfiller](const result<std::string> &outcome) mutable {
                      auto answer = context.getResults();
@@ -361,8 +360,8 @@
                          answer.setDetail(errorOf(outcome).detail);
                      } else {
                          const auto &body = valueOf(outcome);
-                         answer.setResponse({reinterpret_cast<const kj::byte *>(body.data()),
-                                             body.size()});
+                         answer.setResponse(
+                                 {reinterpret_cast<const kj::byte *>(body.data()), body.size()});
                      }
                      (*fulfiller)->fulfill();
                  });
--- a/packages/cluster/src/relay_client.cc
+++ b/packages/cluster/src/relay_client.cc
@@ -110,8 +110,7 @@
     void startLocating()
     {
         locate();
-        locating_ = loop_.timers().every(options_.locatePeriod,
-                                         [this](time_point) { locate(); });
+        locating_ = loop_.timers().every(options_.locatePeriod, [this](time_point) { locate(); });
     }
 
     bool inContact() const
@@ -124,13 +123,14 @@
         for (const auto node : nodes_) {
             if (node == id)
                 continue;
-            tasks_.add(connected(node).then(
-                    [this, id](connection_ptr link) {
-                        auto request = link->remote.joinRequest();
-                        request.setId(id);
-                        return timer().timeoutAfter(toKj(options_.attemptTimeout),
-                                                    request.send().ignoreResult());
-                    }).catch_([](kj::Exception &&) {}));
+            tasks_.add(connected(node)
+                               .then([this, id](const connection_ptr &link) {
+                                   auto request = link->remote.joinRequest();
+                                   request.setId(id);
+                                   return timer().timeoutAfter(toKj(options_.attemptTimeout),
+                                                               request.send().ignoreResult());
+                               })
+                               .catch_([](kj::Exception &&) {}));
         }
     }
 
@@ -147,8 +147,9 @@
     {
         if (id == leader_)
             return;
-        logEvent("relay.leader", {{"earlier", leader_ == 0 ? "none" : ipOf(leader_)},
-                                  {"leader", id == 0 ? "none" : ipOf(id)}});
+        logEvent("relay.leader",
+                 {{"earlier", leader_ == 0 ? "none" : ipOf(leader_)},
+                  {"leader", id == 0 ? "none" : ipOf(id)}});
         leader_ = id;
         learn(id);
     }
@@ -176,14 +177,16 @@
                                   return stream.attach(kj::mv(address));
                               });
         auto done = timer().timeoutAfter(toKj(options_.connectTimeout), kj::mv(opened))
-                            .then([this, id](kj::Own<kj::AsyncIoStream> stream) {
-                                links_[id].open = std::make_shared<connection>(kj::mv(stream));
-                                clearConnecting(id);
-                            },
-                            [this, id](kj::Exception &&failure) {
-                                clearConnecting(id);
-                                kj::throwFatalException(kj::mv(failure));
-                            });
+                            .then(
+                                    [this, id](kj::Own<kj::AsyncIoStream> stream) {
+                                        links_[id].open
+                                                = std::make_shared<connection>(kj::mv(stream));
+                                        clearConnecting(id);
+                                    },
+                                    [this, id](kj::Exception &&failure) {
+                                        clearConnecting(id);
+                                        kj::throwFatalException(kj::mv(failure));
+                                    });
         auto forked = done.fork();
         auto branch = forked.addBranch();
         link.connecting = kj::mv(forked);
@@ -192,7 +195,8 @@
 
     connection_ptr ready(consensus::voter_id id)
     {
-        KJ_REQUIRE(links_[id].open != nullptr, "connection lost");
+        if (links_[id].open == nullptr)
+            kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "connection lost"));
         return links_[id].open;
     }
 
@@ -240,8 +244,9 @@
             return retryLater(item);
         const auto limit = std::min(left, options_.attemptTimeout);
         auto used = std::make_shared<connection_ptr>();
-        auto sending = connected(id).then([this, item, used, limit](connection_ptr link) {
-            KJ_REQUIRE(!item->finished, "answered already");
+        auto sending = connected(id).then([this, item, used, limit](const connection_ptr &link) {
+            if (item->finished)
+                kj::throwFatalException(KJ_EXCEPTION(FAILED, "answered already"));
             *used = link;
             item->sending = true;
             auto request = link->remote.relayRequest();
@@ -293,7 +298,7 @@
         if (id == 0)
             return;
         auto used = std::make_shared<connection_ptr>();
-        auto asking = connected(id).then([this, used](connection_ptr link) {
+        auto asking = connected(id).then([this, used](const connection_ptr &link) {
             *used = link;
             return timer().timeoutAfter(toKj(options_.attemptTimeout),
                                         link->remote.locateRequest().send());
--- a/support/lint.sh
+++ b/support/lint.sh
@@ -5,13 +5,13 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folder="${1:-build}"
-mapfile -t sources < <(git ls-files -co --exclude-standard 'packages/*.cc' 'packages/*.h' 'support/*.cc' \
+mapfile -t sources < <(git ls-files -co --exclude-standard 'packages/*.cc' 'packages/*.h' 'platform/*.cc' 'platform/*.h' 'support/*.cc' \
   | grep -v /generated/ | while read -r file; do [ -e "$file" ] && echo "$file"; done)
 clang-format --dry-run --Werror "${sources[@]}"
 cache="${XDG_CACHE_HOME:-$HOME/.cache}/persimmonproxy-tidy"
 mkdir -p "$cache"
 includes=()
-for dir in packages/*/include packages/*/src packages/*/test; do includes+=("-I$dir"); done
+for dir in packages/*/include packages/*/src packages/*/test platform/include platform/src platform/test; do includes+=("-I$dir"); done
 for dir in packages/*/generated; do includes+=("-isystem" "$dir"); done
 check() {
   local key log
