Explain jobs: events of a job, why steps wait, metrics by tenant, pacing of fillers

Cause: from a job's id nothing led to why it waited or failed; tasks that fill idle capacity were never paced. Ruled out for the logs: a line for each heartbeat (1,400 a second on the grown sites).

--- /dev/null
+++ b/packages/apps/src/batch_metrics.cc
@@ -0,0 +1,137 @@
+#include "apps/batch_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <set>
+
+namespace persimmon::apps {
+
+namespace {
+
+constexpr std::size_t maxTenants = 400;
+
+// Seconds, up to the hours that long jobs take.
+const prometheus::Histogram::BucketBoundaries jobBuckets {0.25, 0.5, 1,  2.5, 5,    10,  30,
+                                                          60,   120, 300, 900, 3600, 14400};
+const prometheus::Histogram::BucketBoundaries requestBuckets {0.005, 0.01, 0.025, 0.05, 0.1,
+                                                              0.25,  0.5,  1,     2.5,  5};
+
+double secondsBetween(std::int64_t fromMs, std::int64_t toMs)
+{
+    return static_cast<double>(toMs - fromMs) / 1000;
+}
+
+template <typename Builder>
+auto &familyOf(prometheus::Registry &registry, Builder builder, const char *name, const char *help)
+{
+    return builder.Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+class batch_metrics::implementation
+{
+public:
+    void observe(const batch::ledger_event &event, std::int64_t wallMs)
+    {
+        const auto &job = *event.job;
+        const prometheus::Labels labels {{"tenant", tenantLabel(job.tenant)},
+                                         {"priority", std::to_string(job.source.priority)}};
+        switch (event.kind) {
+        case batch::ledger_event_kind::JobBegun:
+            begun_.Add(labels, jobBuckets).Observe(secondsBetween(job.acceptedMs, wallMs));
+            return;
+        case batch::ledger_event_kind::JobEnded:
+            ended_.Add(labels, jobBuckets).Observe(secondsBetween(job.acceptedMs, job.endedMs));
+            jobs_.Add({{"tenant", tenantLabel(job.tenant)},
+                       {"outcome", std::string(batch::toName(job.state))}})
+                    .Increment();
+            return;
+        case batch::ledger_event_kind::RunEnded:
+            runs_.Add({{"how", std::string(batch::toName(event.how))}}).Increment();
+            return;
+        }
+    }
+
+    void observeRequest(std::string_view kind, int status, double seconds)
+    {
+        requests_.Add({{"kind", std::string(kind)}, {"status", std::to_string(status)}})
+                .Increment();
+        durations_.Add({{"kind", std::string(kind)}}, requestBuckets).Observe(seconds);
+    }
+
+    std::string serialize(const scheduler_gauges &gauges)
+    {
+        const auto set = [this](const char *what, double value) {
+            state_.Add({{"what", what}}).Set(value);
+        };
+        set("leading", gauges.leading ? 1 : 0);
+        set("term", static_cast<double>(gauges.term));
+        set("committed_entries", static_cast<double>(gauges.committed));
+        set("configuration_version", static_cast<double>(gauges.configurationVersion));
+        set("workers", static_cast<double>(gauges.workers));
+        set("jobs", static_cast<double>(gauges.jobs));
+        return prometheus::TextSerializer {}.Serialize(registry_.Collect());
+    }
+
+private:
+    std::string tenantLabel(const std::string &tenant)
+    {
+        if (tenants_.size() < maxTenants)
+            tenants_.insert(tenant);
+        return tenants_.contains(tenant) ? tenant : "other";
+    }
+
+    prometheus::Registry registry_;
+    std::set<std::string> tenants_;
+    prometheus::Family<prometheus::Histogram> &begun_ = familyOf(
+            registry_, prometheus::BuildHistogram(), "persimmon_job_wait_seconds",
+            "Time from the acceptance of a job to the order of its first run");
+    prometheus::Family<prometheus::Histogram> &ended_
+            = familyOf(registry_, prometheus::BuildHistogram(), "persimmon_job_seconds",
+                       "Time from the acceptance of a job to its end");
+    prometheus::Family<prometheus::Counter> &jobs_
+            = familyOf(registry_, prometheus::BuildCounter(), "persimmon_jobs_total",
+                       "Ended jobs by tenant and outcome");
+    prometheus::Family<prometheus::Counter> &runs_
+            = familyOf(registry_, prometheus::BuildCounter(), "persimmon_runs_total",
+                       "Ended runs of tasks by how they ended");
+    prometheus::Family<prometheus::Counter> &requests_
+            = familyOf(registry_, prometheus::BuildCounter(), "persimmon_calls_total",
+                       "Answered calls by kind and HTTP status");
+    prometheus::Family<prometheus::Histogram> &durations_
+            = familyOf(registry_, prometheus::BuildHistogram(), "persimmon_call_seconds",
+                       "Time from the arrival of a call to its answer");
+    prometheus::Family<prometheus::Gauge> &state_
+            = familyOf(registry_, prometheus::BuildGauge(), "persimmon_scheduler_state",
+                       "Leadership (1: leads), term, committed entries, version of the "
+                       "configuration, known workers and jobs");
+};
+
+batch_metrics::batch_metrics()
+    : implementation_(std::make_unique<implementation>())
+{
+}
+
+batch_metrics::~batch_metrics() = default;
+
+void batch_metrics::observe(const batch::ledger_event &event, std::int64_t wallMs)
+{
+    implementation_->observe(event, wallMs);
+}
+
+void batch_metrics::observeRequest(std::string_view kind, int status, double seconds)
+{
+    implementation_->observeRequest(kind, status, seconds);
+}
+
+std::string batch_metrics::serialize(const scheduler_gauges &gauges)
+{
+    return implementation_->serialize(gauges);
+}
+
+} // namespace persimmon::apps
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "batch/ledger.h"
+#include "batch/pacer.h"
 #include "batch/scheduler.h"
 #include "batch/worker.h"
 
@@ -87,6 +88,8 @@
         std::optional<time_point> left;
         std::map<task_id, run_watch> runs;
         std::map<task_id, std::pair<std::uint32_t, time_point>> missing; // run, and since when
+        pacer pace;
+        bool paced = false; // a lower pace was ordered
     };
 
     using run_key = std::pair<task_id, std::uint32_t>;
@@ -96,8 +99,10 @@
     void noteRunning(worker_state &known, time_point now);
     void noteMissing(worker_state &known, time_point now, std::vector<run_end> &ends) const;
     void noteEnd(worker_state &known, const ended_task &row, time_point now);
-    worker_orders ordersFor(const worker_state &known) const;
+    worker_orders ordersFor(worker_state &known) const;
     void addStarts(const worker_state &known, worker_orders &orders) const;
+    void addPaces(worker_state &known, worker_orders &orders) const;
+    void notePace(worker_state &known, time_point now) const;
     bool shouldStop(const worker_state &known, const task_id &task, std::uint32_t run) const;
     void commitEnds(std::vector<run_end> ends, std::int64_t wallMs,
                     std::function<void(status)> done);
@@ -105,7 +110,8 @@
     void findStalled(time_point now);
     void stopDraining(const worker_state &known);
     void schedule(time_point now, std::int64_t wallMs);
-    void proposeStarts(std::vector<assignment> runs);
+    void proposeStarts(std::vector<assignment> runs, std::int64_t wallMs);
+    void logWaits(const std::vector<unit_wait> &waits, std::int64_t wallMs);
     void forgetOld(std::int64_t wallMs);
     std::vector<worker_view> viewWorkers(time_point now) const;
 
@@ -118,6 +124,7 @@
     std::map<std::string, worker_state> workers_;
     std::set<run_key> stopping_; // runs ordered to stop to make room or to move them
     std::set<task_id> ending_; // ends of lost workers that are being committed
+    std::map<task_id, wait_cause> loggedWaits_;
     bool dirty_ = false;
     bool committing_ = false; // starts are being committed
     bool undecided_ = false; // a failed commit may still take effect
--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -52,6 +52,7 @@
 struct start_runs
 {
     std::vector<assignment> runs;
+    std::int64_t wallMs = 0;
 };
 struct end_runs
 {
@@ -95,6 +96,16 @@
     bool done() const { return doneCount == tasks.size(); }
 };
 
+// One step of what happened to a job, kept for explanations.
+struct job_event
+{
+    std::int64_t atMs = 0; // Unix milliseconds
+    std::string kind; // accepted, started, ended, closed
+    std::string reason; // how a run or the job ended, else "-"
+    std::uint32_t run = 0;
+    std::string detail; // task and worker
+};
+
 struct job_record
 {
     std::string id;
@@ -105,6 +116,7 @@
     std::int64_t endedMs = 0; // 0: not ended
     job_state state = job_state::Queued;
     std::vector<std::vector<step_state>> occurrences; // [occurrence][step]
+    std::vector<job_event> events; // the newest, oldest first
 
     bool ended() const { return endedMs != 0; }
     const step_state &stepOf(const task_id &task) const
@@ -120,6 +132,16 @@
     std::int64_t objectiveMs() const;
 };
 
+enum class ledger_event_kind : std::uint8_t { JobBegun, JobEnded, RunEnded };
+
+// What a command has changed, for metrics and logs.
+struct ledger_event
+{
+    ledger_event_kind kind = ledger_event_kind::JobBegun;
+    const job_record *job = nullptr;
+    end_kind how = end_kind::Done; // of a run
+};
+
 // Replicated state: the configuration, all jobs, and which run is where.
 class ledger : public consensus::state_machine
 {
@@ -133,6 +155,12 @@
 
     void apply(const command &value);
 
+    // Sets who is told of changes, also of those that are applied again after a restart.
+    void observe(std::function<void(const ledger_event &)> observer)
+    {
+        observer_ = std::move(observer);
+    }
+
     const configuration &currentConfiguration() const { return configuration_; }
     const job_record *findJob(const std::string &id) const;
 
@@ -159,7 +187,8 @@
     void handle(const end_runs &input);
     void handle(const forget_jobs &input);
 
-    void start(const assignment &run);
+    void start(const assignment &run, std::int64_t wallMs);
+    static void note(job_record &job, job_event event);
     void end(const run_end &value, std::int64_t wallMs);
     void finishTask(job_record &job, const task_id &id, std::int64_t wallMs);
     static bool countFailure(const job_record &job, const step_spec &spec, step_state &step,
@@ -170,6 +199,7 @@
 
     configuration configuration_;
     std::map<std::string, job_record> jobs_;
+    std::function<void(const ledger_event &)> observer_ = [](const ledger_event &) {};
 
     // Derived from the jobs.
     std::map<std::string, std::map<task_id, assignment>> runs_;
@@ -177,6 +207,9 @@
     std::set<std::string> open_; // jobs that are not ended or have active runs
 };
 
+// Short name of a task within its job: OCCURRENCE.STEP.INDEX.
+std::string shortName(const task_id &task);
+
 // Encodes a command for the log.
 consensus::byte_buffer encode(const command &value);
 
--- a/packages/batch/include/batch/model.h
+++ b/packages/batch/include/batch/model.h
@@ -44,6 +44,7 @@
     std::string preferredRack; // empty: any rack
     std::uint32_t maxPerWorker = 0; // 0: no limit
     std::uint32_t disruptionBudget = 0;
+    std::uint32_t latencyObjectiveMs = 0; // its tasks serve users below this time; 0: none
 
     // What one task takes from the capacity of its worker.
     amount charged() const;
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -44,11 +44,27 @@
     std::int64_t checkpointMs = 1000; // work between two checkpoints
 };
 
+// Why tasks that may start have no place.
+enum class wait_cause : std::uint8_t {
+    NoRoom, // all suitable workers are in use
+    Preempting, // room is being made by stopping others
+    NoAdvice, // the advice service has not allowed a worker yet
+};
+
+std::string_view toName(wait_cause cause);
+
+struct unit_wait
+{
+    task_id first;
+    wait_cause cause = wait_cause::NoRoom;
+};
+
 struct schedule_output
 {
     std::vector<assignment> starts;
     std::vector<assignment> preemptions; // to be stopped
     std::size_t waiting = 0; // units without a place
+    std::vector<unit_wait> waits;
 };
 
 // Chooses what starts where and what is stopped for it. Decisions depend on the input and on the
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -13,6 +13,7 @@
     std::uint32_t run = 0;
     std::string saved; // newest checkpoint, may be empty
     std::uint32_t percent = 0;
+    std::int64_t figure = 0; // of a task that serves users: tail of its response times in ms
 };
 
 struct ended_task
@@ -55,6 +56,14 @@
     std::uint32_t run = 0;
 };
 
+// Lets a task work at a share of its speed.
+struct pace_order
+{
+    task_id task;
+    std::uint32_t run = 0;
+    std::uint32_t percent = 100;
+};
+
 // Answer to a heartbeat. Without a lease nothing is started and no lease is extended.
 struct worker_orders
 {
@@ -63,6 +72,7 @@
     std::optional<std::uint64_t> seenUpTo; // ends up to here are durable
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
+    std::vector<pace_order> paces;
     std::int64_t retryMs = 0; // until the next heartbeat
 };
 
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -175,6 +175,7 @@
     input.checkpointMs = options_.checkpointEvery.count();
     auto output = scheduler_.plan(input);
     waiting_ = output.waiting > 0;
+    logWaits(output.waits, wallMs);
     for (const auto &run : output.preemptions) {
         stopping_.insert({run.task, run.run});
         logEvent("task.preempted",
@@ -191,10 +192,31 @@
                 || job->taskOf(key.first).run != key.second;
     });
     if (!output.starts.empty())
-        proposeStarts(std::move(output.starts));
+        proposeStarts(std::move(output.starts), wallMs);
 }
 
-void controller::proposeStarts(std::vector<assignment> runs)
+// Logs once why a step waits.
+void controller::logWaits(const std::vector<unit_wait> &waits, std::int64_t wallMs)
+{
+    std::map<task_id, wait_cause> current;
+    for (const auto &[task, cause] : waits) {
+        const auto known = loggedWaits_.find(task);
+        current[task] = cause;
+        if (known != loggedWaits_.end() && known->second == cause)
+            continue;
+        const auto &job = *state_.findJob(task.job);
+        logEvent("step.waiting", {{"job", task.job},
+                                  {"task", shortName(task)},
+                                  {"why", toName(cause)},
+                                  {"since_ms", wallMs - job.acceptedMs},
+                                  {"priority", job.source.priority},
+                                  {"accelerators", job.spec.steps[task.step].need.accelerators},
+                                  {"workers", workers_.size()}});
+    }
+    loggedWaits_ = std::move(current);
+}
+
+void controller::proposeStarts(std::vector<assignment> runs, std::int64_t wallMs)
 {
     for (const auto &run : runs)
         logEvent("task.placed",
@@ -204,7 +226,7 @@
                   {"run", run.run},
                   {"worker", run.worker}});
     committing_ = true;
-    propose_(start_runs {std::move(runs)},
+    propose_(start_runs {std::move(runs), wallMs},
              [this, alive = std::weak_ptr<int>(alive_)](const status &done) {
                  if (alive.expired())
                      return;
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -93,6 +93,7 @@
     known.heard = now;
     known.left.reset();
     noteRunning(known, now);
+    notePace(known, now);
     auto ends = readEnds(known, now);
     noteMissing(known, now, ends);
     if (report.draining)
@@ -236,7 +237,7 @@
     return stopping_.contains({task, run}) || known.report.draining;
 }
 
-worker_orders controller::ordersFor(const worker_state &known) const
+worker_orders controller::ordersFor(worker_state &known) const
 {
     worker_orders orders;
     orders.leaseMs = options_.lease.count();
@@ -254,7 +255,8 @@
             orders.stops.push_back({row.task, row.run});
     }
     addStarts(known, orders);
-    const bool busy = waiting_ || committing_ || !orders.starts.empty() || !orders.stops.empty();
+    addPaces(known, orders);
+    const bool busy = !orders.paces.empty() || waiting_ || committing_ || !orders.starts.empty() || !orders.stops.empty();
     const auto load = options_.retryPerWorker * static_cast<int>(workers_.size());
     const auto retry
             = busy ? std::max(options_.busyRetry, load) : std::max(options_.retry, load * 2);
@@ -293,6 +295,40 @@
     }
 }
 
+void controller::notePace(worker_state &known, time_point now) const
+{
+    double worst = 0;
+    for (const auto &row : known.report.running) {
+        const auto *job = state_.findJob(row.task.job);
+        if (job == nullptr || row.task.step >= job->spec.steps.size())
+            continue;
+        const auto objective = job->spec.steps[row.task.step].latencyObjectiveMs;
+        if (objective > 0)
+            worst = std::max(worst, static_cast<double>(row.figure) / objective);
+    }
+    const auto before = known.pace.percent();
+    known.pace.observe(now, worst);
+    if (known.pace.percent() != before)
+        logEvent("worker.paced", {{"worker", known.report.id},
+                                  {"worst_ratio", worst},
+                                  {"earlier_percent", before},
+                                  {"percent", known.pace.percent()}});
+}
+
+// A task starts at full speed, so a lower pace is repeated in each answer.
+void controller::addPaces(worker_state &known, worker_orders &orders) const
+{
+    if (known.pace.percent() == 100 && !known.paced)
+        return;
+    known.paced = known.pace.percent() < 100;
+    for (const auto &row : known.report.running) {
+        const auto *job = state_.findJob(row.task.job);
+        if (job != nullptr && row.task.step < job->spec.steps.size()
+            && job->spec.steps[row.task.step].fillsIdle)
+            orders.paces.push_back({row.task, row.run, known.pace.percent()});
+    }
+}
+
 // Tasks that can't end before a draining worker leaves are moved at once.
 void controller::stopDraining(const worker_state &known)
 {
--- a/packages/batch/src/ledger.cc
+++ b/packages/batch/src/ledger.cc
@@ -6,6 +6,19 @@
 
 namespace persimmon::batch {
 
+namespace {
+
+// Events kept of one job.
+constexpr std::size_t maxEvents = 24;
+
+} // namespace
+
+std::string shortName(const task_id &task)
+{
+    return std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
+            + std::to_string(task.index);
+}
+
 std::int64_t job_record::chainMs() const
 {
     std::vector<std::int64_t> ends;
@@ -105,6 +118,7 @@
     for (const auto &step : input.spec.steps)
         steps.emplace_back().tasks.resize(step.count);
     job.occurrences.assign(std::max(1U, input.spec.occurrences), steps);
+    note(job, {input.wallMs, "accepted", "-", 0, "queue " + input.source.name});
     jobs_.emplace(input.id, std::move(job));
     open_.insert(input.id);
 }
@@ -119,10 +133,17 @@
 void ledger::handle(const start_runs &input)
 {
     for (const auto &run : input.runs)
-        start(run);
+        start(run, input.wallMs);
+}
+
+void ledger::note(job_record &job, job_event event)
+{
+    if (job.events.size() >= maxEvents)
+        job.events.erase(job.events.begin() + 1); // the acceptance stays
+    job.events.push_back(std::move(event));
 }
 
-void ledger::start(const assignment &run)
+void ledger::start(const assignment &run, std::int64_t wallMs)
 {
     auto *task = findTask(run.task);
     if (task == nullptr)
@@ -136,7 +157,11 @@
     task->born = run.born;
     auto &step = job.occurrences[run.task.occurrence][run.task.step];
     ++step.activeCount;
+    if (!step.begun || run.run > 1)
+        note(job, {wallMs, "started", "-", run.run, shortName(run.task) + " on " + run.worker});
     step.begun = true;
+    if (job.state == job_state::Queued)
+        observer_({ledger_event_kind::JobBegun, &job, {}});
     job.state = job_state::Running;
     runs_[run.worker][run.task] = run;
     ++activeRuns_[job.id];
@@ -168,6 +193,10 @@
         task->saved = value.saved;
     if (value.kind == end_kind::Failed)
         task->failedOn = task->worker;
+    if (value.kind != end_kind::Done)
+        note(job, {wallMs, "ended", std::string(toName(value.kind)), value.run,
+                   shortName(value.task) + " on " + task->worker});
+    observer_({ledger_event_kind::RunEnded, &job, value.kind});
     if (job.ended() || spec.longRunning)
         return;
     if (value.kind == end_kind::Done)
@@ -214,6 +243,8 @@
 {
     job.state = state;
     job.endedMs = std::max<std::int64_t>(1, wallMs);
+    note(job, {wallMs, "closed", std::string(toName(state)), 0, "-"});
+    observer_({ledger_event_kind::JobEnded, &job, {}});
     if (!activeRuns_.contains(job.id))
         open_.erase(job.id);
 }
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -88,6 +88,7 @@
         return;
     }
     ++output_.waiting;
+    output_.waits.push_back({item.first, waiting ? wait_cause::Preempting : wait_cause::NoRoom});
     if (waiting) {
         apply(claims_.at(item.first), 1);
         return;
@@ -99,6 +100,7 @@
         ++preemptions_;
         if (preempt(item)) {
             apply(claims_.at(item.first), 1);
+            output_.waits.back().cause = wait_cause::Preempting;
             return;
         }
     }
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -11,6 +11,19 @@
 
 } // namespace
 
+std::string_view toName(wait_cause cause)
+{
+    switch (cause) {
+    case wait_cause::NoRoom:
+        return "no_room";
+    case wait_cause::Preempting:
+        return "preempting";
+    case wait_cause::NoAdvice:
+        return "no_advice";
+    }
+    return "unknown";
+}
+
 void scheduler::dropClaims(const schedule_input &input)
 {
     std::erase_if(claims_, [&](const auto &item) {
--- a/packages/batch/src/serialize.h
+++ b/packages/batch/src/serialize.h
@@ -22,7 +22,8 @@
 {
     archive(value.count, value.need, value.estimateMs, value.dependsOn, value.checkpointable,
             value.gang, value.sameRack, value.speculative, value.longRunning, value.fillsIdle,
-            value.requiredLabel, value.preferredRack, value.maxPerWorker, value.disruptionBudget);
+            value.requiredLabel, value.preferredRack, value.maxPerWorker, value.disruptionBudget,
+            value.latencyObjectiveMs);
 }
 
 template <typename Archive>
@@ -94,7 +95,7 @@
 template <typename Archive>
 void serialize(Archive &archive, start_runs &value)
 {
-    archive(value.runs);
+    archive(value.runs, value.wallMs);
 }
 
 template <typename Archive>
@@ -123,11 +124,17 @@
             value.begun);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, job_event &value)
+{
+    archive(value.atMs, value.kind, value.reason, value.run, value.detail);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, job_record &value)
 {
     archive(value.id, value.tenant, value.source, value.spec, value.acceptedMs, value.endedMs,
-            value.state, value.occurrences);
+            value.state, value.occurrences, value.events);
 }
 
 } // namespace persimmon::batch
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -72,7 +72,9 @@
             base.spec = &spec;
             base.first = {job.id, k, s, 0};
             base.latestStartMs = due + objective - spec.estimateMs;
-            base.hopeless = input.wallMs > due + lateFactor * objective;
+            // Tasks that last earn for as long as they run.
+            base.hopeless
+                    = !spec.longRunning && input.wallMs > due + lateFactor * objective;
             if (spec.gang)
                 addGang(step, std::move(base), units);
             else
--- a/packages/batch/test/controller-test.cc
+++ b/packages/batch/test/controller-test.cc
@@ -18,7 +18,7 @@
         CHECK_EQUAL(step.count, orders.starts.size());
         auto running = leader.report("w1");
         for (const auto &order : orders.starts)
-            running.running.push_back({order.task, order.run, "", 10});
+            running.running.push_back({order.task, order.run, "", 10, 0});
         leader.beat(running);
         return running;
     }
@@ -211,3 +211,50 @@
     }
     CHECK_EQUAL(1, beatWith(running).stops.size());
 }
+
+// Guards against fillers that push a serving task over its latency objective, and against an answer
+// to a new run at full speed.
+TEST(Controller, pacesFillersBesideSlowServingTasks)
+{
+    leader.configure(1);
+    auto serving = leader_fixture::tasks(1, 0);
+    serving.longRunning = true;
+    serving.latencyObjectiveMs = 100;
+    auto filler = leader_fixture::tasks(1, 0);
+    filler.fillsIdle = true;
+    leader.submit("/q1/s", serving);
+    leader.submit("/q1/f", filler);
+    auto report = leader.report("w1");
+    report.running = {{{"s", 0, 0, 0}, 1, "", 100, 120}, {{"f", 0, 0, 0}, 1, "", 10, 4}};
+    const auto orders = beatWith(report);
+    CHECK_EQUAL(1, orders.paces.size());
+    CHECK_EQUAL(0, orders.paces.front().percent);
+    STRCMP_EQUAL("f", orders.paces.front().task.job.c_str());
+    report.running.front().figure = 20;
+    std::uint32_t last = 0;
+    for (int ms = 0; ms < 8000; ms += 400) {
+        leader.advance(400);
+        const auto raised = beatWith(report);
+        if (!raised.paces.empty())
+            last = raised.paces.front().percent;
+    }
+    CHECK_EQUAL(100, last);
+}
+
+// Guards against a lasting task that is not restarted after an end, or counted as failed.
+TEST(Controller, restartsLastingTaskHoweverItEnds)
+{
+    auto step = leader_fixture::tasks(1, 1);
+    step.longRunning = true;
+    auto ended = startOne(step);
+    for (std::uint32_t run = 1; run < 6; ++run) {
+        ended.running.clear();
+        ended.ended = {{run, {"a", 0, 0, 0}, run, run % 2 == 0 ? end_kind::Done : end_kind::Failed,
+                        ""}};
+        beatWith(ended);
+        leader.beat(leader.report("w2"));
+        leader.advance(100);
+        CHECK_EQUAL(run + 1, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
+        ended = leader.report(leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).worker);
+    }
+}
--- a/packages/batch/test/ledger-test.cc
+++ b/packages/batch/test/ledger-test.cc
@@ -18,7 +18,7 @@
 
     void start(std::uint32_t index, std::uint32_t run)
     {
-        state.apply(start_runs {{{{"a", 0, 0, index}, run, "w" + std::to_string(index), 1}}});
+        state.apply(start_runs {{{{"a", 0, 0, index}, run, "w" + std::to_string(index), 1}}, 15});
     }
 
     void end(std::uint32_t index, std::uint32_t run, end_kind kind, const std::string &saved = {})
--- a/packages/batch/test/scheduler-test.cc
+++ b/packages/batch/test/scheduler-test.cc
@@ -164,7 +164,7 @@
     for (const auto *id : {"w1", "w2"}) {
         auto report = leader.report(id);
         for (const auto &[task, run] : leader.state.runsOn(id))
-            report.running.push_back({task, run.run, "", 10});
+            report.running.push_back({task, run.run, "", 10, 0});
         const auto orders = leader.beat(report);
         stops += orders.stops.size();
         if (!orders.stops.empty())
