--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -234,7 +234,7 @@
     const auto *job = state_.findJob(task.job);
     if (job == nullptr || job->ended())
         return true;
-    return stopping_.contains({task, run}) || known.report.draining;
+    return stopping_.contains({task, run}) || ending_.contains(task) || known.report.draining;
 }
 
 worker_orders controller::ordersFor(worker_state &known) const
--- a/packages/batch/test/controller-test.cc
+++ b/packages/batch/test/controller-test.cc
@@ -112,6 +112,20 @@
     CHECK_EQUAL(2, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
 }
 
+// Guards against an order for a run whose end is being committed: its next run starts elsewhere.
+TEST(Controller, sendsNoStartWhileAnEndIsCommitted)
+{
+    leader.configure(1);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.beat(leader.report("w1"));
+    leader.advance(100); // placed, but the order never reaches the worker
+    leader.hold = true;
+    leader.advance(5400);
+    CHECK_EQUAL(0, leader.beat(leader.report("w1")).starts.size());
+    leader.hold = false;
+    leader.releaseHeld();
+}
+
 // Guards against restarting what runs on a worker that a new leader has not heard yet.
 TEST(Controller, newLeaderKeepsRunsOfUnheardWorkers)
 {
