Repeat the membership in the entry that readmits a node with a lost disk

Cause: the first membership of a group is in no log entry, so a node that lost its disk and rejoined held an empty membership: it voted but never stood for election. After two such losses of three, one node alone could lead. Change: the entry that the leader commits for a rejoiner is a membership entry with the present voters.

--- a/packages/consensus/src/core-members.cc
+++ b/packages/consensus/src/core-members.cc
@@ -83,7 +83,9 @@
     if (!from.rejoining)
         return;
     if (from.admitIndex == 0) {
-        from.admitIndex = appendOwn(entry_kind::Barrier, {});
+        // An empty disk doesn't know the first membership, which is in no entry; without it the
+        // node would never stand for election.
+        from.admitIndex = appendOwn(entry_kind::Membership, encodeVoters(voters()));
         replicate();
     }
     if (committed_ < from.admitIndex || from.matched < from.admitIndex)
--- a/packages/consensus/src/core.h
+++ b/packages/consensus/src/core.h
@@ -87,7 +87,7 @@
 //
 // Rejoining after a lost disk. A node whose disk may have lost votes or acknowledged entries
 // neither votes nor counts in any quorum ("rejoining"; stored durably). Its leader commits a new
-// Barrier entry E after it first hears from the new disk. E is committed by a majority that
+// entry E that repeats the membership after it first hears from the new disk. E is committed by a majority that
 // excludes the rejoiner. Once the rejoiner has synced everything up to E, the leader admits it
 // (Admit). This is safe because every majority M that stored E intersects every majority that
 // elected a leader or committed an entry in a node other than the rejoiner. Hence the leader of E
