Test the scheduler and gateway roles as processes, with the way from an id to its cause

No test covered the two roles as processes. New: jobs survive the leader's death without a second run, the causes of a refused, a late and a failed job are found from the output and persimmonctl explain, a gateway ends after SIGTERM without cutting a request.

--- /dev/null
+++ b/packages/system/test/batch-test.cc
@@ -0,0 +1,314 @@
+// The scheduler and gateway roles as processes, with stand-ins for workers and consumers: serving,
+// loss of the leader, and the way from a job's id to the cause of its failure.
+#include "local_system.h"
+#include "standin_fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::system_test;
+
+namespace {
+
+constexpr int schedulers = 3;
+
+std::string programPath(const std::string &name)
+{
+    return std::string(PERSIMMON_PROGRAMS) + "/packages/apps/" + name;
+}
+
+std::string textOf(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::int64_t nowMs()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+// Three schedulers and a gateway on loopback addresses of their own.
+class batch_system
+{
+public:
+    batch_system()
+        : folder_("/tmp/persimmon-batch-" + std::to_string(getpid()))
+        , port_(34000 + getpid() % 300 * 4)
+    {
+        std::filesystem::remove_all(folder_);
+        std::filesystem::create_directories(folder_);
+        for (int i = 0; i < schedulers; ++i)
+            startScheduler(i, true);
+        std::ofstream(folder_ + "/gateway.ini")
+                << "[instance]\nid = gateway\nip = 127.0.32.9\n[http]\nlisten = " << gateway()
+                << "\nready_listen = 127.0.32.9:" << port_ + 1
+                << "\nmetrics_listen = 127.0.32.9:" << port_ + 3 << "\n"
+                << group();
+        gateway_ = launch("gateway", "gateway");
+    }
+
+    ~batch_system()
+    {
+        gateway_.killNow();
+        for (auto &item : processes_)
+            item.second.killNow();
+        std::filesystem::remove_all(folder_);
+    }
+
+    void startScheduler(int number, bool bootstrap)
+    {
+        const auto name = "scheduler-" + std::to_string(number);
+        std::ofstream(folder_ + "/" + name + ".ini")
+                << "[instance]\nid = " << name << "\nip = " << ip(number)
+                << "\n[http]\nlisten = " << scheduler(number) << "\nmetrics_listen = "
+                << ip(number) << ":" << port_ + 3 << "\n"
+                << group() << "data_folder = " << folder_ << "/" << name
+                << "\nbootstrap = " << (bootstrap ? "true" : "false") << "\n";
+        processes_[number] = launch(name, "scheduler");
+    }
+
+    // Sends heartbeats of all workers and lets them work, in real time.
+    void work(platform::standin_fleet &fleet)
+    {
+        const auto sent = nowMs();
+        for (auto &worker : fleet.workers) {
+            if (sent < nextBeat_[worker.id])
+                continue;
+            const auto body = fleet.heartbeat(worker, sent);
+            const auto target = scheduler(next_ % schedulers);
+            const auto answer = call(target, "PUT", "/instances/" + worker.id, body, {},
+                                     milliseconds {900});
+            if (answer.status == 200)
+                fleet.receive(worker, sent, nowMs(), answer.body);
+            else
+                ++next_;
+            nextBeat_[worker.id] = nowMs() + 100;
+        }
+        const auto now = nowMs();
+        if (last_ != 0)
+            fleet.advance(now - last_, now);
+        last_ = now;
+        std::this_thread::sleep_for(milliseconds {10});
+    }
+
+    bool workUntil(platform::standin_fleet &fleet, const std::function<bool()> &condition,
+                   std::int64_t limitMs = 20000)
+    {
+        const auto end = nowMs() + limitMs;
+        while (!condition()) {
+            if (nowMs() > end)
+                return false;
+            work(fleet);
+        }
+        return true;
+    }
+
+    bool configure()
+    {
+        const std::string body
+                = R"({"version":3,"services":[{"name":"pool"}],"routes":[{"name":"q","host":"h",)"
+                  R"("prefix":"/q/","service":"pool","timeout_ms":3000,"attempts":1,)"
+                  R"("slack_factor":2,"slo_ms":1000,"priority":1}],)"
+                  R"("tenants":[{"name":"t","api_keys":["key"]}]})";
+        return waitUntil(milliseconds {10000}, [&] {
+            return call(scheduler(0), "PUT", "/config", body, {}, milliseconds {1000}).status
+                    == 200;
+        });
+    }
+
+    http_answer ask(const std::string &method, const std::string &path,
+                    const std::string &body = {}, const std::string &key = "key")
+    {
+        return call(gateway(), method, path, body,
+                    {{"Host", "h"}, {"Authorization", "Bearer " + key}}, milliseconds {3500});
+    }
+
+    std::string stateOf(const std::string &id)
+    {
+        const auto answer = ask("GET", "/q/" + id);
+        return answer.status == 200 ? answer.json().at("state").as_string() : "";
+    }
+
+    int leader() const
+    {
+        for (int i = 0; i < schedulers; ++i) {
+            const auto metrics = call(ip(i) + ":" + std::to_string(port_ + 3), "GET", "/metrics",
+                                      {}, {}, milliseconds {300});
+            if (metrics.body.find("what=\"leading\"} 1") != std::string::npos)
+                return i;
+        }
+        return -1;
+    }
+
+    void killScheduler(int number) { processes_.at(number).killNow(); }
+    process &gatewayProcess() { return gateway_; }
+
+    // Returns the lines of all processes that hold both texts.
+    std::string lines(const std::string &first, const std::string &second) const
+    {
+        std::string found;
+        for (const auto &entry : std::filesystem::directory_iterator(folder_)) {
+            if (entry.path().extension() != ".log")
+                continue;
+            std::istringstream text(textOf(entry.path().string()));
+            for (std::string line; std::getline(text, line);) {
+                if (line.find(first) != std::string::npos
+                    && line.find(second) != std::string::npos)
+                    found += line + "\n";
+            }
+        }
+        return found;
+    }
+
+    std::string explain(const std::string &id) const
+    {
+        const auto output = folder_ + "/explain.txt";
+        process run({programPath("persimmonctl"), "--control",
+                     ip(leader()) + ":" + std::to_string(port_ + 3), "explain", id},
+                    output);
+        CHECK_EQUAL(0, run.waitForExit(milliseconds {8000}));
+        return textOf(output);
+    }
+
+private:
+    static std::string ip(int number) { return "127.0.32." + std::to_string(number + 1); }
+    std::string scheduler(int number) const { return ip(number) + ":" + std::to_string(port_); }
+    std::string gateway() const { return "127.0.32.9:" + std::to_string(port_); }
+
+    std::string group() const
+    {
+        std::string seeds;
+        for (int i = 0; i < schedulers; ++i)
+            seeds += (i == 0 ? "" : ",") + scheduler(i);
+        return "[group]\nrpc_port = " + std::to_string(port_ + 2) + "\nseeds = " + seeds + "\n";
+    }
+
+    process launch(const std::string &name, const std::string &role) const
+    {
+        return {{programPath("persimmond"), "--role=" + role,
+                 "--settings=" + folder_ + "/" + name + ".ini"},
+                folder_ + "/" + name + ".log"};
+    }
+
+    std::string folder_;
+    int port_;
+    std::map<int, process> processes_;
+    process gateway_;
+    std::map<std::string, std::int64_t> nextBeat_;
+    int next_ = 0;
+    std::int64_t last_ = 0;
+};
+
+std::string jobOf(platform::standin_fleet &fleet, const std::string &id,
+                  const platform::standin_job &job)
+{
+    fleet.jobs[id] = job;
+    return R"({"spec":"x","steps":[{"count":)" + std::to_string(job.count) + R"(,"cpu":)"
+            + std::to_string(job.cpu) + R"(,"estimate_ms":1000,"gang":)"
+            + (job.gang ? "true" : "false") + "}]}";
+}
+
+} // namespace
+
+TEST_GROUP(BatchSystem) {};
+
+// Guards against jobs that are lost or run twice when the leader dies while they run.
+TEST(BatchSystem, jobsSurviveTheLeader)
+{
+    batch_system system;
+    platform::standin_fleet fleet(3);
+    CHECK_TRUE(system.configure());
+    for (int i = 0; i < 6; ++i) {
+        const auto id = "a" + std::to_string(i);
+        const auto body = jobOf(fleet, id, {1000, 1500, 2, i % 2 == 0});
+        CHECK_TRUE(waitUntil(milliseconds {5000},
+                             [&] { return system.ask("POST", "/q/" + id, body).status == 200; }));
+    }
+    CHECK_TRUE(system.workUntil(fleet, [&] {
+        return std::ranges::any_of(fleet.workers,
+                                   [](const auto &worker) { return !worker.running.empty(); });
+    }));
+    const auto leader = system.leader();
+    CHECK_TRUE(leader >= 0);
+    system.killScheduler(leader);
+    CHECK_TRUE(system.workUntil(fleet, [&] {
+        for (int i = 0; i < 6; ++i) {
+            if (system.stateOf("a" + std::to_string(i)) != "done")
+                return false;
+        }
+        return true;
+    }));
+    for (const auto &violation : fleet.violations)
+        FAIL(violation.c_str());
+    for (const auto &[task, runs] : fleet.doneRuns)
+        CHECK_EQUAL(1, runs);
+}
+
+// Guards against failures whose cause can't be found afterwards: only the processes' output and
+// persimmonctl are used, by the steps of docs/OPERATIONS.md.
+TEST(BatchSystem, causeIsFoundFromTheId)
+{
+    batch_system system;
+    platform::standin_fleet fleet(1);
+    CHECK_TRUE(system.configure());
+
+    // A submission that is refused.
+    CHECK_EQUAL(404, system.ask("POST", "/other/r1", jobOf(fleet, "r1", {})).status);
+    CHECK_EQUAL(401, system.ask("POST", "/q/r2", jobOf(fleet, "r2", {}), "wrong").status);
+    CHECK_TRUE(waitUntil(milliseconds {3000}, [&] {
+        return system.lines("event=request.refused", "path=/other/r1").find("code=no_route")
+                != std::string::npos
+                && system.lines("event=request.refused", "path=/q/r2")
+                           .find("code=unknown_workspace")
+                != std::string::npos;
+    }));
+
+    // A job that comes late because it waits for another.
+    CHECK_EQUAL(200, system.ask("POST", "/q/w1", jobOf(fleet, "w1", {4000, 1500, 1, false})).status);
+    CHECK_TRUE(system.workUntil(fleet, [&] { return !fleet.workers.front().running.empty(); }));
+    CHECK_EQUAL(200, system.ask("POST", "/q/w2", jobOf(fleet, "w2", {4000, 200, 1, false})).status);
+    CHECK_TRUE(system.workUntil(fleet, [&] { return system.stateOf("w2") == "done"; }));
+    CHECK_TRUE(system.lines("event=step.waiting", "job=w2").find("why=no_room")
+               != std::string::npos);
+    CHECK_TRUE(system.lines("event=job.ended", "job=w2").find("outcome=done")
+               != std::string::npos);
+
+    // A task that ran and counts as failed.
+    CHECK_EQUAL(200, system.ask("POST", "/q/f1", jobOf(fleet, "f1", {1000, 9000, 1, false})).status);
+    CHECK_TRUE(system.workUntil(fleet, [&] { return !fleet.workers.front().running.empty(); }));
+    fleet.fail(fleet.workers.front(), "f1.0.0.0");
+    CHECK_TRUE(system.workUntil(fleet, [&] { return system.stateOf("f1") == "failed"; }));
+    CHECK_TRUE(system.lines("event=task.ended", "job=f1").find("how=failed")
+               != std::string::npos);
+    const auto text = system.explain("f1");
+    CHECK_TRUE(text.find("failed") != std::string::npos);
+    CHECK_TRUE(text.find("0.0.0 on i-0") != std::string::npos);
+}
+
+// Guards against a planned stop that cuts a request or hangs.
+TEST(BatchSystem, gatewayStopsGracefully)
+{
+    batch_system system;
+    CHECK_TRUE(system.configure());
+    CHECK_TRUE(waitUntil(milliseconds {5000}, [&] {
+        return system.ask("GET", "/q/").status == 200;
+    }));
+    system.gatewayProcess().sendSignal(SIGHUP);
+    CHECK_EQUAL(200, system.ask("GET", "/q/").status);
+    system.gatewayProcess().sendSignal(SIGTERM);
+    CHECK_EQUAL(200, system.ask("GET", "/q/").status);
+    CHECK_EQUAL(0, system.gatewayProcess().waitForExit(milliseconds {8000}));
+}
