Ask the advice service for tickets; soak the processes under faults

Queues with advice never started anything. Change: steps ask about as many workers as they need, one question at a time; answers are kept for the worker's incarnation, tickets until they expire, and orders carry them. A soak test kills, freezes and wipes schedulers while jobs keep coming; support/soak.sh runs it longer. Ruled out: asking for all workers (each named costs time).

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -49,6 +49,9 @@
     // Stops to lead: heartbeats fail with NotLeader.
     void endTerm();
 
+    // Sets how the advice service is asked; without it, queues that need advice wait.
+    void adviseBy(ask_function ask) { ask_ = std::move(ask); }
+
     bool leading() const { return term_ != 0; }
 
     // Takes one heartbeat. The answer comes after the reported ends are durable. Fails with
@@ -99,8 +102,8 @@
     void noteRunning(worker_state &known, time_point now);
     void noteMissing(worker_state &known, time_point now, std::vector<run_end> &ends) const;
     void noteEnd(worker_state &known, const ended_task &row, time_point now);
-    worker_orders ordersFor(worker_state &known) const;
-    void addStarts(const worker_state &known, worker_orders &orders) const;
+    worker_orders ordersFor(worker_state &known);
+    void addStarts(const worker_state &known, worker_orders &orders);
     void addPaces(worker_state &known, worker_orders &orders) const;
     void notePace(worker_state &known, time_point now) const;
     bool shouldStop(const worker_state &known, const task_id &task, std::uint32_t run) const;
@@ -112,6 +115,9 @@
     void schedule(time_point now, std::int64_t wallMs);
     void proposeStarts(std::vector<assignment> runs, std::int64_t wallMs);
     void logWaits(const std::vector<unit_wait> &waits, std::int64_t wallMs);
+    void askAdvice(time_point now, std::vector<advice_want> wants);
+    void ask(time_point now, const step_key &step, const std::vector<advised_worker> &asked,
+             milliseconds valid);
     void forgetOld(std::int64_t wallMs);
     std::vector<worker_view> viewWorkers(time_point now) const;
 
@@ -125,6 +131,11 @@
     std::set<run_key> stopping_; // runs ordered to stop to make room or to move them
     std::set<task_id> ending_; // ends of lost workers that are being committed
     std::map<task_id, wait_cause> loggedWaits_;
+    ask_function ask_;
+    advice_book advice_;
+    std::set<std::pair<step_key, std::string>> missingTickets_; // of placed runs, by worker
+    bool asking_ = false;
+    time_point nextAsk_ {};
     bool dirty_ = false;
     bool committing_ = false; // starts are being committed
     bool undecided_ = false; // a failed commit may still take effect
--- a/packages/batch/include/batch/model.h
+++ b/packages/batch/include/batch/model.h
@@ -74,7 +74,7 @@
     double slackFactor = 1; // objective = factor x longest chain + objectiveMs
     std::uint32_t objectiveMs = 0;
     bool openToAll = false; // no key needed
-    bool needsAdvice = false; // starts need a ticket of the advice service
+    std::uint32_t adviceValidMs = 0; // starts need a ticket, valid for this time; 0: none
 
     friend bool operator==(const queue &, const queue &) = default;
 };
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "batch/advice.h"
 #include "batch/ledger.h"
 
 #include <map>
@@ -39,6 +40,7 @@
     std::vector<worker_view> workers;
     const std::map<task_id, run_progress> *progress = nullptr;
     const std::set<std::pair<task_id, std::uint32_t>> *stopping = nullptr; // ordered to stop
+    const advice_book *advice = nullptr;
     time_point now {};
     std::int64_t wallMs = 0;
     std::int64_t checkpointMs = 1000; // work between two checkpoints
@@ -59,12 +61,20 @@
     wait_cause cause = wait_cause::NoRoom;
 };
 
+// Workers that the advice service should be asked about.
+struct advice_want
+{
+    step_key step;
+    std::vector<std::string> workers;
+};
+
 struct schedule_output
 {
     std::vector<assignment> starts;
     std::vector<assignment> preemptions; // to be stopped
     std::size_t waiting = 0; // units without a place
     std::vector<unit_wait> waits;
+    std::vector<advice_want> advice;
 };
 
 // Chooses what starts where and what is stopped for it. Decisions depend on the input and on the
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -48,6 +48,7 @@
     std::uint32_t run = 0;
     std::string payload;
     std::string saved; // checkpoint to resume from, may be empty
+    std::string ticket; // of the advice service, may be empty
 };
 
 struct stop_order
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -170,12 +170,14 @@
     input.workers = viewWorkers(now);
     input.progress = &progress;
     input.stopping = &stopping_;
+    input.advice = &advice_;
     input.now = now;
     input.wallMs = wallMs;
     input.checkpointMs = options_.checkpointEvery.count();
     auto output = scheduler_.plan(input);
     waiting_ = output.waiting > 0;
     logWaits(output.waits, wallMs);
+    askAdvice(now, std::move(output.advice));
     for (const auto &run : output.preemptions) {
         stopping_.insert({run.task, run.run});
         logEvent("task.preempted",
@@ -241,6 +243,10 @@
     if (wallMs < lastForgetMs_ + forgetPeriodMs && wallMs > lastForgetMs_ - forgetPeriodMs)
         return;
     lastForgetMs_ = wallMs;
+    advice_.forget([this](const std::string &id) {
+        const auto *job = state_.findJob(id);
+        return job != nullptr && !job->ended();
+    });
     propose_(forget_jobs {wallMs - options_.keepEnded.count()}, [](const status &) {});
 }
 
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -43,6 +43,8 @@
     scheduler_.reset();
     committing_ = false;
     undecided_ = false;
+    asking_ = false;
+    advice_ = {};
     alive_ = std::make_shared<int>(0);
     dirty_ = true;
     logEvent("leader.begin", {{"term", term}, {"jobs", state_.jobCount()}});
@@ -237,7 +239,7 @@
     return stopping_.contains({task, run}) || ending_.contains(task) || known.report.draining;
 }
 
-worker_orders controller::ordersFor(worker_state &known) const
+worker_orders controller::ordersFor(worker_state &known)
 {
     worker_orders orders;
     orders.leaseMs = options_.lease.count();
@@ -264,7 +266,7 @@
     return orders;
 }
 
-void controller::addStarts(const worker_state &known, worker_orders &orders) const
+void controller::addStarts(const worker_state &known, worker_orders &orders)
 {
     for (const auto &[task, run] : state_.runsOn(known.report.id)) {
         if (run.born != known.report.born)
@@ -285,7 +287,18 @@
             for (const auto &member : step.tasks)
                 saved = std::max(saved, member.saved);
         }
-        orders.starts.push_back({task, run.run, job.spec.payload, std::move(saved)});
+        std::string permit;
+        if (job.source.adviceValidMs > 0) {
+            const auto *held
+                    = advice_.find(stepOf(task), known.report.id, run.born, known.heard);
+            if (held == nullptr) {
+                missingTickets_.insert({stepOf(task), known.report.id});
+                continue;
+            }
+            permit = *held;
+        }
+        orders.starts.push_back(
+                {task, run.run, job.spec.payload, std::move(saved), std::move(permit)});
         logEvent("task.start_sent",
                  {{"job", task.job},
                   {"task", nameOf(task)},
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -16,6 +16,12 @@
 // Plans of preemption in one pass; more wait for the next pass.
 constexpr std::size_t maxPreemptions = 8;
 
+// Workers asked about beyond the number of tasks, because some may be refused.
+constexpr std::size_t extraAdvice = 4;
+
+// Workers in one question.
+constexpr std::size_t maxAdvice = 30;
+
 std::string occurrenceName(const task_id &task)
 {
     return task.job + "." + std::to_string(task.occurrence);
@@ -85,6 +91,8 @@
         if (slots.size() == item.indexes.size())
             return;
         ++output_.waiting;
+        if (item.job->source.adviceValidMs > 0)
+            wantAdvice(item);
         return;
     }
     ++output_.waiting;
@@ -93,6 +101,8 @@
         apply(claims_.at(item.first), 1);
         return;
     }
+    if (item.job->source.adviceValidMs > 0)
+        return wantAdvice(item);
     noteMisfit(item);
     if (item.hopeless)
         return;
@@ -137,6 +147,42 @@
             || std::ranges::find(view.labels, item.spec->requiredLabel) != view.labels.end();
 }
 
+bool scheduler::pass::hasTicket(const unit &item, std::size_t worker) const
+{
+    const auto &view = input_.workers[worker];
+    return item.job->source.adviceValidMs == 0
+            || input_.advice->find(detail::stepKeyOf(item), view.id, view.born, input_.now)
+            != nullptr;
+}
+
+// Each worker named costs time, so only about as many as are needed are asked about.
+void scheduler::pass::wantAdvice(const unit &item)
+{
+    const auto need = item.spec->charged();
+    const auto step = detail::stepKeyOf(item);
+    std::vector<std::size_t> unknown;
+    for (const auto worker : all_) {
+        const auto &view = input_.workers[worker];
+        if (usable(item, worker) && timesFitting(view.capacity, need) > 0
+            && !input_.advice->isKnown(step, view.id, view.born, input_.now))
+            unknown.push_back(worker);
+    }
+    std::ranges::stable_sort(unknown, std::greater<> {}, [&](std::size_t worker) {
+        return timesFitting(available_[worker], need);
+    });
+    if (unknown.size() > item.indexes.size() + extraAdvice)
+        unknown.resize(item.indexes.size() + extraAdvice);
+    if (unknown.size() > maxAdvice)
+        unknown.resize(maxAdvice);
+    if (unknown.empty())
+        return;
+    output_.waits.push_back({item.first, wait_cause::NoAdvice});
+    auto &want = output_.advice.emplace_back();
+    want.step = step;
+    for (const auto worker : unknown)
+        want.workers.push_back(input_.workers[worker].id);
+}
+
 // Returns the workers with room for at least one task, best first.
 std::vector<std::size_t> scheduler::pass::candidates(const unit &item,
                                                      const std::vector<std::size_t> &from) const
@@ -146,6 +192,7 @@
     std::vector<std::size_t> found;
     for (const auto worker : from) {
         if (timesFitting(available_[worker], need) > 0 && usable(item, worker)
+            && hasTicket(item, worker)
             && !reservedRacks_.contains(workers[worker].rack))
             found.push_back(worker);
     }
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -59,6 +59,8 @@
     bool usable(const unit &item, std::size_t worker) const;
     bool dominated(const unit &item) const;
     void noteMisfit(const unit &item);
+    bool hasTicket(const unit &item, std::size_t worker) const;
+    void wantAdvice(const unit &item);
     void start(const unit &item, const std::vector<slot> &slots);
     void reserveRack(const unit &item);
     void apply(const claim &item, int sign);
--- a/packages/batch/src/serialize.h
+++ b/packages/batch/src/serialize.h
@@ -36,7 +36,7 @@
 void serialize(Archive &archive, queue &value)
 {
     archive(value.name, value.host, value.prefix, value.pool, value.priority, value.attempts,
-            value.slackFactor, value.objectiveMs, value.openToAll, value.needsAdvice);
+            value.slackFactor, value.objectiveMs, value.openToAll, value.adviceValidMs);
 }
 
 template <typename Archive>
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -89,7 +89,7 @@
 {
     std::vector<unit> units;
     input.state->forEachOpenJob([&](const job_record &job) {
-        if (!job.ended() && !job.source.needsAdvice)
+        if (!job.ended())
             addUnits(job, input, units);
     });
     std::ranges::stable_sort(units, {}, [](const unit &item) {
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -26,10 +26,15 @@
     bool plain() const
     {
         return spec->requiredLabel.empty() && spec->maxPerWorker == 0 && avoid.empty()
-                && !lastAttempt;
+                && !lastAttempt && job->source.adviceValidMs == 0;
     }
 };
 
+inline step_key stepKeyOf(const unit &item)
+{
+    return stepOf(item.first);
+}
+
 // Returns all units that may start now, in the order in which they are placed.
 std::vector<unit> collectUnits(const schedule_input &input);
 
--- a/packages/batch/test/controller-test.cc
+++ b/packages/batch/test/controller-test.cc
@@ -272,3 +272,35 @@
         ended = leader.report(leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).worker);
     }
 }
+
+// Guards against starts without a ticket, a second question at a time, and refused workers.
+TEST(Controller, startsAdvisedStepsWithTickets)
+{
+    leader.configure(1);
+    auto value = leader.state.currentConfiguration();
+    value.version = ++leader.version;
+    value.queues.front().adviceValidMs = 60000;
+    leader.commit(set_configuration {value});
+    int questions = 0;
+    std::function<void(result<std::vector<ticket>>)> answer;
+    leader.workers.adviseBy([&](const step_key &step, const std::vector<std::string> &,
+                                std::function<void(result<std::vector<ticket>>)> done) {
+        ++questions;
+        STRCMP_EQUAL("a", step.job.c_str());
+        answer = std::move(done);
+    });
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.beat(leader.report("w1"));
+    leader.beat(leader.report("w2"));
+    leader.advance(100);
+    leader.advance(100);
+    CHECK_EQUAL(1, questions);
+    answer(std::vector<ticket> {{"w2", "permit"}});
+    leader.advance(100);
+    CHECK_EQUAL(0, leader.beat(leader.report("w1")).starts.size());
+    const auto orders = leader.beat(leader.report("w2"));
+    CHECK_EQUAL(1, orders.starts.size());
+    STRCMP_EQUAL("permit", orders.starts.front().ticket.c_str());
+    leader.advance(1000);
+    CHECK_EQUAL(1, questions);
+}
--- a/packages/batch/test/service-test.cc
+++ b/packages/batch/test/service-test.cc
@@ -43,7 +43,7 @@
 {
     configuration value;
     value.version = 1;
-    value.queues = {{"q", "host", "/q/", "pool", 1, 1, 1.0, 1, false, false}};
+    value.queues = {{"q", "host", "/q/", "pool", 1, 1, 1.0, 1, false, 0}};
     value.tenants = {{"owner", {"key"}, 0}};
     CHECK_TRUE(configureCode(value) == result_code::Ok);
     CHECK_TRUE(submitCode({"host", "/q/a", "key"}) == result_code::Ok);
@@ -73,8 +73,8 @@
     CHECK_TRUE(configureCode(value) == result_code::InvalidTable);
     value = {};
     value.version = 9;
-    value.queues = {{"q", "host", "/q/", "pool", 1, 1, 1.0, 1, false, false},
-                    {"p", "host", "/q/", "pool", 1, 1, 1.0, 1, false, false}};
+    value.queues = {{"q", "host", "/q/", "pool", 1, 1, 1.0, 1, false, 0},
+                    {"p", "host", "/q/", "pool", 1, 1, 1.0, 1, false, 0}};
     CHECK_TRUE(configureCode(value) == result_code::InvalidTable);
     CHECK_EQUAL(1, leader.state.currentConfiguration().version);
 }
--- a/packages/system/test/batch-test.cc
+++ b/packages/system/test/batch-test.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 #include <thread>
 #include <unistd.h>
@@ -153,6 +154,14 @@
         return -1;
     }
 
+    // Freezes a scheduler, or wakes it.
+    void signalScheduler(int number, int signal) { processes_.at(number).sendSignal(signal); }
+
+    void wipeScheduler(int number) const
+    {
+        std::filesystem::remove_all(folder_ + "/scheduler-" + std::to_string(number));
+    }
+
     void killScheduler(int number) { processes_.at(number).killNow(); }
     process &gatewayProcess() { return gateway_; }
 
@@ -312,3 +321,69 @@
     CHECK_EQUAL(200, system.ask("GET", "/q/").status);
     CHECK_EQUAL(0, system.gatewayProcess().waitForExit(milliseconds {8000}));
 }
+
+// Guards against what only a long run shows: schedulers are killed, frozen and lose their disks one
+// after the other while jobs keep coming. PERSIMMON_SOAK_SECONDS and PERSIMMON_SOAK_SEED set the
+// length and the order.
+TEST(BatchSystem, soakUnderFaults)
+{
+    const char *length = std::getenv("PERSIMMON_SOAK_SECONDS");
+    const char *seed = std::getenv("PERSIMMON_SOAK_SEED");
+    std::mt19937 random(seed == nullptr ? 1U : static_cast<unsigned>(std::atoi(seed)));
+    const auto end = nowMs() + 1000 * (length == nullptr ? 15 : std::atoll(length));
+    batch_system system;
+    platform::standin_fleet fleet(4);
+    CHECK_TRUE(system.configure());
+    std::vector<std::string> accepted;
+    int next = 0;
+    int victim = -1;
+    int fault = 0;
+    std::int64_t nextFault = nowMs() + 2000;
+    std::int64_t nextJob = nowMs();
+    while (nowMs() < end) {
+        if (nowMs() >= nextJob) {
+            nextJob = nowMs() + 250;
+            const auto id = "s" + std::to_string(++next);
+            const platform::standin_job job {1000 * (1 + next % 3), 300 + next % 7 * 200,
+                                             1 + next % 3, next % 2 == 0};
+            if (system.ask("POST", "/q/" + id, jobOf(fleet, id, job)).status == 200)
+                accepted.push_back(id);
+        }
+        if (nowMs() >= nextFault && victim < 0) {
+            victim = static_cast<int>(random() % schedulers);
+            fault = static_cast<int>(random() % 3);
+            if (fault == 0)
+                system.signalScheduler(victim, SIGSTOP);
+            else
+                system.killScheduler(victim);
+            if (fault == 2)
+                system.wipeScheduler(victim);
+            nextFault = nowMs() + 1500;
+        } else if (nowMs() >= nextFault) {
+            if (fault == 0)
+                system.signalScheduler(victim, SIGCONT);
+            else
+                system.startScheduler(victim, false);
+            victim = -1;
+            nextFault = nowMs() + 4000;
+        }
+        system.work(fleet);
+    }
+    if (victim >= 0 && fault == 0)
+        system.signalScheduler(victim, SIGCONT);
+    else if (victim >= 0)
+        system.startScheduler(victim, false);
+    const bool done = system.workUntil(
+            fleet,
+            [&] {
+                while (!accepted.empty() && system.stateOf(accepted.back()) == "done")
+                    accepted.pop_back();
+                return accepted.empty();
+            },
+            60000);
+    for (const auto &violation : fleet.violations)
+        FAIL(violation.c_str());
+    if (!done)
+        FAIL(("not done: " + accepted.back() + " " + system.stateOf(accepted.back())).c_str());
+    CHECK_TRUE(next > 10);
+}
--- /dev/null
+++ b/support/soak.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Soaks the scheduler and gateway roles under faults: support/soak.sh SECONDS [SEED] [BUILD_FOLDER]
+# First the in-process fuzz test with fresh seeds, then real processes that are killed, frozen and
+# wiped. Prints the seed of a failure.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seconds="${1:?SECONDS}"
+seed="${2:-$RANDOM}"
+folder="${3:-build}"
+echo "seed $seed"
+for i in $(seq 1 $((seconds / 10 + 1))); do
+  PERSIMMON_FUZZ_SEED=$((seed + i * 100)) "$folder/platform/platform-test" -g PlatformFuzz
+done
+PERSIMMON_SOAK_SECONDS="$seconds" PERSIMMON_SOAK_SEED="$seed" \
+  "$folder/packages/system/system-test" -g BatchSystem -n soakUnderFaults
