--- a/packages/system/test/batch-test.cc
+++ b/packages/system/test/batch-test.cc
@@ -77,7 +77,8 @@
                 << "\n[http]\nlisten = " << scheduler(number) << "\nmetrics_listen = "
                 << ip(number) << ":" << port_ + 3 << "\n"
                 << group() << "data_folder = " << folder_ << "/" << name
-                << "\nbootstrap = " << (bootstrap ? "true" : "false") << "\n";
+                << "\nbootstrap = " << (bootstrap ? "true" : "false")
+                << "\n[workers]\nadvice = 127.0.32.8:" << port_ << "\n";
         processes_[number] = launch(name, "scheduler");
     }
 
