--- a/packages/base/include/base/settings.h
+++ b/packages/base/include/base/settings.h
@@ -67,7 +67,7 @@
     std::vector<ini_mistake> mistakes;
 };
 
-// Describes one settings key for the reference in docs/operations.md.
+// Describes one settings key for the reference in docs/settings.md.
 struct settings_key
 {
     std::string_view section;
