Stop the other members of a gang that can't be complete

Change: members of a torn gang are stopped at once, and a gang with an order unsent for 1.5 s; a run that this leader never ordered ends at once when it isn't wanted. Tests: three of ControllerGang, all failed before.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -21,6 +21,7 @@
     milliseconds retryPerWorker {1}; // both grow with the number of workers, up to maxRetry
     milliseconds maxRetry {1000};
     milliseconds checkpointEvery {1000}; // work between two checkpoints
+    milliseconds unsentLimit {1500}; // a gang with an order unsent for this time is stopped
     milliseconds stallLimit {2500}; // a run without progress for this time is moved
     milliseconds quarantine {6000}; // of a worker that failed two jobs in a row
     milliseconds keepEnded {300000}; // jobs are known for this time after their end
@@ -106,14 +107,16 @@
     void addStarts(const worker_state &known, worker_orders &orders);
     void addPaces(worker_state &known, worker_orders &orders) const;
     void notePace(worker_state &known, time_point now) const;
+    bool isTornGang(const job_record &job, const task_id &task) const;
     bool shouldStop(const worker_state &known, const task_id &task, std::uint32_t run) const;
     void commitEnds(std::vector<run_end> ends, std::int64_t wallMs,
                     std::function<void(status)> done);
     void expireLeases(time_point now, std::int64_t wallMs);
     void findStalled(time_point now);
+    void stopWaitingGangs(time_point now);
     void stopDraining(const worker_state &known);
     void schedule(time_point now, std::int64_t wallMs);
-    void proposeStarts(std::vector<assignment> runs, std::int64_t wallMs);
+    void proposeStarts(std::vector<assignment> runs, time_point now, std::int64_t wallMs);
     void logWaits(const std::vector<unit_wait> &waits, std::int64_t wallMs);
     void askAdvice(time_point now, std::vector<advice_want> wants);
     void ask(time_point now, const step_key &step, const std::vector<advised_worker> &asked,
@@ -130,6 +133,7 @@
     std::map<std::string, worker_state> workers_;
     std::set<run_key> stopping_; // runs ordered to stop to make room or to move them
     std::set<task_id> ending_; // ends of lost workers that are being committed
+    std::map<run_key, time_point> unsent_; // placed by this leader, no order sent yet
     std::map<task_id, wait_cause> loggedWaits_;
     ask_function ask_;
     advice_book advice_;
--- a/packages/batch/src/controller-advice.cc
+++ b/packages/batch/src/controller-advice.cc
@@ -56,10 +56,11 @@
              dirty_ = true;
              const auto outcome = failed(answer) ? errorOf(answer).detail
                                                  : std::to_string(valueOf(answer).size());
-             logEvent("advice.answer", {{"job", step.job},
-                                        {"step", step.step},
-                                        {"asked", asked.size()},
-                                        {"outcome", outcome}});
+             logEvent("advice.answer",
+                      {{"job", step.job},
+                       {"step", step.step},
+                       {"asked", asked.size()},
+                       {"outcome", outcome}});
              if (failed(answer))
                  nextAsk_ = now + askPause;
              else
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -34,6 +34,7 @@
     dirty_ = false;
     expireLeases(now, wallMs);
     findStalled(now);
+    stopWaitingGangs(now);
     schedule(now, wallMs);
     forgetOld(wallMs);
 }
@@ -112,6 +113,34 @@
     }
 }
 
+// The members of a gang wait for each other only for a while, so the gang is stopped before that if
+// the worker of one of them isn't heard.
+void controller::stopWaitingGangs(time_point now)
+{
+    for (auto item = unsent_.begin(); item != unsent_.end();) {
+        const auto &[task, run] = item->first;
+        const auto *job = state_.findJob(task.job);
+        const bool current = job != nullptr && !job->ended()
+                && (committing_ || (job->taskOf(task).active && job->taskOf(task).run == run));
+        if (!current) {
+            item = unsent_.erase(item);
+            continue;
+        }
+        if (job->spec.steps[task.step].gang && now - item->second > options_.unsentLimit) {
+            const auto count = static_cast<std::uint32_t>(job->stepOf(task).tasks.size());
+            for (std::uint32_t i = 0; i < count; ++i)
+                stopping_.insert({{task.job, task.occurrence, task.step, i}, run});
+            logEvent("gang.stopped",
+                     {{"job", task.job},
+                      {"task", shortName(task)},
+                      {"run", run},
+                      {"worker", job->taskOf(task).worker},
+                      {"why", "order not sent"}});
+        }
+        ++item;
+    }
+}
+
 std::vector<worker_view> controller::viewWorkers(time_point now) const
 {
     std::vector<worker_view> views;
@@ -194,7 +223,7 @@
                 || job->taskOf(key.first).run != key.second;
     });
     if (!output.starts.empty())
-        proposeStarts(std::move(output.starts), wallMs);
+        proposeStarts(std::move(output.starts), now, wallMs);
 }
 
 // Logs once why a step waits.
@@ -207,26 +236,29 @@
         if (known != loggedWaits_.end() && known->second == cause)
             continue;
         const auto &job = *state_.findJob(task.job);
-        logEvent("step.waiting", {{"job", task.job},
-                                  {"task", shortName(task)},
-                                  {"why", toName(cause)},
-                                  {"since_ms", wallMs - job.acceptedMs},
-                                  {"priority", job.source.priority},
-                                  {"accelerators", job.spec.steps[task.step].need.accelerators},
-                                  {"workers", workers_.size()}});
+        logEvent("step.waiting",
+                 {{"job", task.job},
+                  {"task", shortName(task)},
+                  {"why", toName(cause)},
+                  {"since_ms", wallMs - job.acceptedMs},
+                  {"priority", job.source.priority},
+                  {"accelerators", job.spec.steps[task.step].need.accelerators},
+                  {"workers", workers_.size()}});
     }
     loggedWaits_ = std::move(current);
 }
 
-void controller::proposeStarts(std::vector<assignment> runs, std::int64_t wallMs)
+void controller::proposeStarts(std::vector<assignment> runs, time_point now, std::int64_t wallMs)
 {
-    for (const auto &run : runs)
+    for (const auto &run : runs) {
+        unsent_[{run.task, run.run}] = now;
         logEvent("task.placed",
                  {{"job", run.task.job},
                   {"step", run.task.step},
                   {"index", run.task.index},
                   {"run", run.run},
                   {"worker", run.worker}});
+    }
     committing_ = true;
     propose_(start_runs {std::move(runs), wallMs},
              [this, alive = std::weak_ptr<int>(alive_)](const status &done) {
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -40,6 +40,7 @@
     workers_.clear();
     stopping_.clear();
     ending_.clear();
+    unsent_.clear();
     scheduler_.reset();
     committing_ = false;
     undecided_ = false;
@@ -207,14 +208,17 @@
         const auto running = known.runs.find(task);
         const bool listed = running != known.runs.end() && running->second.run == run.run;
         const bool ended = contains(ends, run);
-        if (run.born > report.born || listed || ended)
+        if (run.born > report.born || listed || ended || ending_.contains(task))
             continue;
         auto &[number, since] = known.missing[task];
         number = run.run;
         const auto before = earlier.find(task);
         const bool same = before != earlier.end() && before->second.first == run.run;
         since = same ? before->second.second : now;
-        if (now - since > options_.missingLimit && shouldStop(known, task, run.run))
+        // This leader knows that it has not ordered the run.
+        const bool neverOrdered = unsent_.contains({task, run.run});
+        if ((neverOrdered || now - since > options_.missingLimit)
+            && shouldStop(known, task, run.run))
             ends.push_back({task, run.run, end_kind::NotStarted, {}});
     }
 }
@@ -231,12 +235,21 @@
              });
 }
 
+// True if a member of the gang's run has ended or was never started, and the step isn't done.
+bool controller::isTornGang(const job_record &job, const task_id &task) const
+{
+    const auto &step = job.stepOf(task);
+    return job.spec.steps[task.step].gang && !job.taskOf(task).done
+            && step.activeCount < step.tasks.size();
+}
+
 bool controller::shouldStop(const worker_state &known, const task_id &task, std::uint32_t run) const
 {
     const auto *job = state_.findJob(task.job);
     if (job == nullptr || job->ended())
         return true;
-    return stopping_.contains({task, run}) || ending_.contains(task) || known.report.draining;
+    return stopping_.contains({task, run}) || ending_.contains(task) || known.report.draining
+            || isTornGang(*job, task);
 }
 
 worker_orders controller::ordersFor(worker_state &known)
@@ -250,15 +263,16 @@
         const bool ours = found != runs.end() && found->second.run == row.run
                 && found->second.born == known.report.born;
         const auto *job = state_.findJob(row.task.job);
-        const bool unwanted
-                = job == nullptr || job->ended() || stopping_.contains({row.task, row.run});
+        const bool unwanted = job == nullptr || job->ended()
+                || stopping_.contains({row.task, row.run}) || (ours && isTornGang(*job, row.task));
         // A gang whose end is durable ends on its other workers by itself.
         if (!ours || (unwanted && !(job != nullptr && job->state == job_state::Done)))
             orders.stops.push_back({row.task, row.run});
     }
     addStarts(known, orders);
     addPaces(known, orders);
-    const bool busy = !orders.paces.empty() || waiting_ || committing_ || !orders.starts.empty() || !orders.stops.empty();
+    const bool busy = !orders.paces.empty() || waiting_ || committing_ || !orders.starts.empty()
+            || !orders.stops.empty();
     const auto load = options_.retryPerWorker * static_cast<int>(workers_.size());
     const auto retry
             = busy ? std::max(options_.busyRetry, load) : std::max(options_.retry, load * 2);
@@ -289,8 +303,7 @@
         }
         std::string permit;
         if (job.source.adviceValidMs > 0) {
-            const auto *held
-                    = advice_.find(stepOf(task), known.report.id, run.born, known.heard);
+            const auto *held = advice_.find(stepOf(task), known.report.id, run.born, known.heard);
             if (held == nullptr) {
                 missingTickets_.insert({stepOf(task), known.report.id});
                 continue;
@@ -299,6 +312,7 @@
         }
         orders.starts.push_back(
                 {task, run.run, job.spec.payload, std::move(saved), std::move(permit)});
+        unsent_.erase({task, run.run});
         logEvent("task.start_sent",
                  {{"job", task.job},
                   {"task", nameOf(task)},
@@ -322,10 +336,11 @@
     const auto before = known.pace.percent();
     known.pace.observe(now, worst);
     if (known.pace.percent() != before)
-        logEvent("worker.paced", {{"worker", known.report.id},
-                                  {"worst_ratio", worst},
-                                  {"earlier_percent", before},
-                                  {"percent", known.pace.percent()}});
+        logEvent("worker.paced",
+                 {{"worker", known.report.id},
+                  {"worst_ratio", worst},
+                  {"earlier_percent", before},
+                  {"percent", known.pace.percent()}});
 }
 
 // A task starts at full speed, so a lower pace is repeated in each answer.
--- a/packages/batch/src/ledger.cc
+++ b/packages/batch/src/ledger.cc
@@ -194,8 +194,9 @@
     if (value.kind == end_kind::Failed)
         task->failedOn = task->worker;
     if (value.kind != end_kind::Done)
-        note(job, {wallMs, "ended", std::string(toName(value.kind)), value.run,
-                   shortName(value.task) + " on " + task->worker});
+        note(job,
+             {wallMs, "ended", std::string(toName(value.kind)), value.run,
+              shortName(value.task) + " on " + task->worker});
     observer_({ledger_event_kind::RunEnded, &job, value.kind});
     if (job.ended() || spec.longRunning)
         return;
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -192,8 +192,7 @@
     std::vector<std::size_t> found;
     for (const auto worker : from) {
         if (timesFitting(available_[worker], need) > 0 && usable(item, worker)
-            && hasTicket(item, worker)
-            && !reservedRacks_.contains(workers[worker].rack))
+            && hasTicket(item, worker) && !reservedRacks_.contains(workers[worker].rack))
             found.push_back(worker);
     }
     const auto &rack = item.spec->preferredRack;
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -73,8 +73,7 @@
             base.first = {job.id, k, s, 0};
             base.latestStartMs = due + objective - spec.estimateMs;
             // Tasks that last earn for as long as they run.
-            base.hopeless
-                    = !spec.longRunning && input.wallMs > due + lateFactor * objective;
+            base.hopeless = !spec.longRunning && input.wallMs > due + lateFactor * objective;
             if (spec.gang)
                 addGang(step, std::move(base), units);
             else
--- a/packages/batch/test/controller-test.cc
+++ b/packages/batch/test/controller-test.cc
@@ -263,8 +263,8 @@
     auto ended = startOne(step);
     for (std::uint32_t run = 1; run < 6; ++run) {
         ended.running.clear();
-        ended.ended = {{run, {"a", 0, 0, 0}, run, run % 2 == 0 ? end_kind::Done : end_kind::Failed,
-                        ""}};
+        ended.ended = {
+                {run, {"a", 0, 0, 0}, run, run % 2 == 0 ? end_kind::Done : end_kind::Failed, ""}};
         beatWith(ended);
         leader.beat(leader.report("w2"));
         leader.advance(100);
@@ -304,3 +304,62 @@
     leader.advance(1000);
     CHECK_EQUAL(1, questions);
 }
+
+TEST_GROUP(ControllerGang)
+{
+    leader_fixture leader;
+
+    // Places a gang of two on w1 and w2; w1 is sent its order and runs.
+    worker_report placeGang()
+    {
+        leader.configure(1);
+        leader.beat(leader.report("w1"));
+        leader.beat(leader.report("w2"));
+        auto step = leader_fixture::tasks(2, 8);
+        step.gang = true;
+        leader.submit("/q1/a", step);
+        leader.advance(100);
+        const auto orders = leader.beat(leader.report("w1"));
+        CHECK_EQUAL(1, orders.starts.size());
+        auto running = leader.report("w1");
+        running.running.push_back({orders.starts.front().task, 1, "", 0, 0});
+        return running;
+    }
+
+    std::size_t stopsOf(worker_report value)
+    {
+        value.sequence = ++leader.sequence;
+        return leader.beat(value).stops.size();
+    }
+};
+
+// Guards against members that wait for one whose worker has restarted.
+TEST(ControllerGang, stopsTheOthersWhenAMemberIsLost)
+{
+    const auto running = placeGang();
+    CHECK_EQUAL(0, stopsOf(running));
+    auto reborn = leader.report("w2");
+    reborn.born = 2000;
+    leader.beat(reborn);
+    CHECK_EQUAL(1, stopsOf(running));
+}
+
+// Guards against members that wait for one whose worker began to drain before its order.
+TEST(ControllerGang, stopsTheOthersWhenAMemberCantStart)
+{
+    const auto running = placeGang();
+    auto draining = leader.report("w2");
+    draining.draining = true;
+    CHECK_EQUAL(0, leader.beat(draining).starts.size());
+    CHECK_EQUAL(1, stopsOf(running));
+}
+
+// Guards against members that wait for one whose worker is silent.
+TEST(ControllerGang, stopsTheOthersWhenAnOrderCantBeSent)
+{
+    const auto running = placeGang();
+    leader.advance(1000);
+    CHECK_EQUAL(0, stopsOf(running));
+    leader.advance(700);
+    CHECK_EQUAL(1, stopsOf(running));
+}
