Close late workers sooner and let heartbeat periods grow to the platform's own

Change: a worker is closed when its heartbeat is 1.2 s late; the period grows up to heartbeat_ms; a gang's limit for unsent orders follows the period. The test of due times now sends a heartbeat before it expects a start: it relied on a worker that had been silent for 1.6 s; what it checks is unchanged.

--- a/packages/apps/src/batch_metrics.cc
+++ b/packages/apps/src/batch_metrics.cc
@@ -15,7 +15,7 @@
 constexpr std::size_t maxTenants = 400;
 
 // Seconds, up to the hours that long jobs take.
-const prometheus::Histogram::BucketBoundaries jobBuckets {0.25, 0.5, 1,  2.5, 5,    10,  30,
+const prometheus::Histogram::BucketBoundaries jobBuckets {0.25, 0.5, 1,   2.5, 5,    10,   30,
                                                           60,   120, 300, 900, 3600, 14400};
 const prometheus::Histogram::BucketBoundaries requestBuckets {0.005, 0.01, 0.025, 0.05, 0.1,
                                                               0.25,  0.5,  1,     2.5,  5};
@@ -88,9 +88,9 @@
 
     prometheus::Registry registry_;
     std::set<std::string> tenants_;
-    prometheus::Family<prometheus::Histogram> &begun_ = familyOf(
-            registry_, prometheus::BuildHistogram(), "persimmon_job_wait_seconds",
-            "Time from the acceptance of a job to the order of its first run");
+    prometheus::Family<prometheus::Histogram> &begun_
+            = familyOf(registry_, prometheus::BuildHistogram(), "persimmon_job_wait_seconds",
+                       "Time from the acceptance of a job to the order of its first run");
     prometheus::Family<prometheus::Histogram> &ended_
             = familyOf(registry_, prometheus::BuildHistogram(), "persimmon_job_seconds",
                        "Time from the acceptance of a job to its end");
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -21,7 +21,10 @@
     milliseconds retryPerWorker {1}; // both grow with the number of workers, up to maxRetry
     milliseconds maxRetry {1000};
     milliseconds checkpointEvery {1000}; // work between two checkpoints
-    milliseconds unsentLimit {1500}; // a gang with an order unsent for this time is stopped
+    // A gang with an order unsent for this time, and a heartbeat period on top, is stopped; members
+    // wait for each other no longer than the longest.
+    milliseconds unsentLimit {1100};
+    milliseconds maxUnsentLimit {2200};
     milliseconds stallLimit {2500}; // a run without progress for this time is moved
     milliseconds quarantine {6000}; // of a worker that failed two jobs in a row
     milliseconds keepEnded {300000}; // jobs are known for this time after their end
@@ -103,6 +106,7 @@
     void noteRunning(worker_state &known, time_point now);
     void noteMissing(worker_state &known, time_point now, std::vector<run_end> &ends) const;
     void noteEnd(worker_state &known, const ended_task &row, time_point now);
+    milliseconds heartbeatPeriod(bool busy) const;
     worker_orders ordersFor(worker_state &known);
     void addStarts(const worker_state &known, worker_orders &orders);
     void addPaces(worker_state &known, worker_orders &orders) const;
--- a/packages/batch/src/controller-advice.cc
+++ b/packages/batch/src/controller-advice.cc
@@ -44,6 +44,7 @@
 {
     asking_ = true;
     std::vector<std::string> ids;
+    ids.reserve(asked.size());
     for (const auto &worker : asked)
         ids.push_back(worker.id);
     const auto until = now + std::max(valid - ticketMargin, milliseconds {0});
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -17,8 +17,8 @@
 // A worker that said farewell counts as gone after this time without a heartbeat.
 constexpr milliseconds leaveDelay {1500};
 
-// Without a heartbeat for this time a worker takes no new tasks.
-constexpr milliseconds silentAfter {2600};
+// A heartbeat that is late by this time beyond its period keeps a worker from new tasks.
+constexpr milliseconds lateHeartbeat {1200};
 
 constexpr std::int64_t forgetPeriodMs = 10000;
 
@@ -117,6 +117,8 @@
 // the worker of one of them isn't heard.
 void controller::stopWaitingGangs(time_point now)
 {
+    const auto limit
+            = std::min(options_.unsentLimit + heartbeatPeriod(false), options_.maxUnsentLimit);
     for (auto item = unsent_.begin(); item != unsent_.end();) {
         const auto &[task, run] = item->first;
         const auto *job = state_.findJob(task.job);
@@ -126,16 +128,19 @@
             item = unsent_.erase(item);
             continue;
         }
-        if (job->spec.steps[task.step].gang && now - item->second > options_.unsentLimit) {
+        if (job->spec.steps[task.step].gang && now - item->second > limit) {
             const auto count = static_cast<std::uint32_t>(job->stepOf(task).tasks.size());
+            bool stopped = false;
             for (std::uint32_t i = 0; i < count; ++i)
-                stopping_.insert({{task.job, task.occurrence, task.step, i}, run});
-            logEvent("gang.stopped",
-                     {{"job", task.job},
-                      {"task", shortName(task)},
-                      {"run", run},
-                      {"worker", job->taskOf(task).worker},
-                      {"why", "order not sent"}});
+                stopped |= stopping_.insert({{task.job, task.occurrence, task.step, i}, run})
+                                   .second;
+            if (stopped)
+                logEvent("gang.stopped",
+                         {{"job", task.job},
+                          {"task", shortName(task)},
+                          {"run", run},
+                          {"worker", job->taskOf(task).worker},
+                          {"why", "order not sent"}});
         }
         ++item;
     }
@@ -143,6 +148,7 @@
 
 std::vector<worker_view> controller::viewWorkers(time_point now) const
 {
+    const auto silentAfter = lateHeartbeat + heartbeatPeriod(false);
     std::vector<worker_view> views;
     std::size_t closed = 0;
     for (const auto &[id, known] : workers_) {
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -273,11 +273,17 @@
     addPaces(known, orders);
     const bool busy = !orders.paces.empty() || waiting_ || committing_ || !orders.starts.empty()
             || !orders.stops.empty();
+    orders.retryMs = heartbeatPeriod(busy).count();
+    return orders;
+}
+
+// The more workers there are, the less often each is heard.
+milliseconds controller::heartbeatPeriod(bool busy) const
+{
     const auto load = options_.retryPerWorker * static_cast<int>(workers_.size());
-    const auto retry
+    const auto period
             = busy ? std::max(options_.busyRetry, load) : std::max(options_.retry, load * 2);
-    orders.retryMs = std::min(retry, options_.maxRetry).count();
-    return orders;
+    return std::min(period, options_.maxRetry);
 }
 
 void controller::addStarts(const worker_state &known, worker_orders &orders)
--- a/packages/batch/test/scheduler-test.cc
+++ b/packages/batch/test/scheduler-test.cc
@@ -129,6 +129,7 @@
     leader.advance(500);
     CHECK_TRUE(leader.state.findJob("a")->occurrences[0][0].begun);
     CHECK_FALSE(leader.state.findJob("a")->occurrences[1][0].begun);
+    join(1); // a worker that isn't heard takes nothing
     leader.advance(1000);
     CHECK_TRUE(leader.state.findJob("a")->occurrences[1][0].begun);
 }
--- a/packages/consensus/src/core.h
+++ b/packages/consensus/src/core.h
@@ -87,13 +87,13 @@
 //
 // Rejoining after a lost disk. A node whose disk may have lost votes or acknowledged entries
 // neither votes nor counts in any quorum ("rejoining"; stored durably). Its leader commits a new
-// entry E that repeats the membership after it first hears from the new disk. E is committed by a majority that
-// excludes the rejoiner. Once the rejoiner has synced everything up to E, the leader admits it
-// (Admit). This is safe because every majority M that stored E intersects every majority that
-// elected a leader or committed an entry in a node other than the rejoiner. Hence the leader of E
-// holds all entries that the rejoiner ever helped commit, the rejoiner holds them again when it is
-// admitted, and no older candidate, which lacks E, can still win with a vote from before the loss.
-// A second disk lost afterwards is therefore an ordinary single loss. A fresh disk is treated
+// entry E that repeats the membership after it first hears from the new disk. E is committed by a
+// majority that excludes the rejoiner. Once the rejoiner has synced everything up to E, the leader
+// admits it (Admit). This is safe because every majority M that stored E intersects every majority
+// that elected a leader or committed an entry in a node other than the rejoiner. Hence the leader
+// of E holds all entries that the rejoiner ever helped commit, the rejoiner holds them again when
+// it is admitted, and no older candidate, which lacks E, can still win with a vote from before the
+// loss. A second disk lost afterwards is therefore an ordinary single loss. A fresh disk is treated
 // alike, with one exception: if every initial voter answers that it has neither a term nor an
 // entry, the group is new and the node starts to vote. The first start of a group hence needs all
 // its voters.
