Ignore heartbeats that were held up; a newer worker at an address replaces the earlier one

Ruled out: slow workers (not one heartbeat after that), a leader change. Change: a heartbeat whose clock is more than 1 s behind is ignored; a worker first known by an old one waits for the next; a newer incarnation at the address ends the runs of the earlier one without waiting for its lease. Tests: three of Controller, written with the change.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -89,6 +89,8 @@
         worker_report report;
         time_point firstHeard {};
         time_point heard {};
+        std::int64_t clockOffsetMs = 0; // our clock less the worker's, at the least
+        bool confirmed = false; // its newest heartbeat was not held up on its way
         time_point closedUntil {}; // quarantined
         std::set<std::string> failedJobs; // since the last success
         bool everDone = false;
@@ -102,6 +104,9 @@
     using run_key = std::pair<task_id, std::uint32_t>;
 
     bool isStale(const worker_state &known, const worker_report &report) const;
+    bool isLate(const worker_state &known, const worker_report &report, time_point now) const;
+    void noteClock(worker_state &known, time_point now, std::int64_t wallMs, bool first) const;
+    void noteAddress(const worker_report &report, time_point now);
     std::vector<run_end> readEnds(worker_state &known, time_point now);
     void noteRunning(worker_state &known, time_point now);
     void noteMissing(worker_state &known, time_point now, std::vector<run_end> &ends) const;
@@ -135,6 +140,7 @@
     std::uint64_t term_ = 0; // 0: not leading
     time_point since_ {};
     std::map<std::string, worker_state> workers_;
+    std::map<std::string, std::string> byAddress_; // newest worker at each address
     std::set<run_key> stopping_; // runs ordered to stop to make room or to move them
     std::set<task_id> ending_; // ends of lost workers that are being committed
     std::map<run_key, time_point> unsent_; // placed by this leader, no order sent yet
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -31,6 +31,8 @@
     std::string id;
     std::int64_t born = 0; // incarnation: Unix milliseconds of the worker's start
     std::uint64_t sequence = 0; // rises with each heartbeat of an incarnation
+    std::int64_t clockMs = 0; // steady clock of the worker at the sending; 0: not known
+    std::string address; // where the worker serves; another incarnation there has replaced it
     std::string pool;
     std::string zone;
     std::string rack;
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -166,14 +166,16 @@
                 ? 3
                 : static_cast<int>(std::min<std::size_t>(2, known.failedJobs.size()));
         view.trusted = known.failedJobs.empty() && !quarantined;
-        view.open = !silent && !known.report.draining && !known.left && !quarantined;
+        view.open = known.confirmed && !silent && !known.report.draining && !known.left
+                && !quarantined;
         views.push_back(std::move(view));
     }
     // With most workers in quarantine the cause is not theirs.
     if (closed * 2 > views.size()) {
         for (auto &view : views) {
             const auto &known = workers_.at(view.id);
-            view.open = now - known.heard <= silentAfter && !known.report.draining && !known.left;
+            view.open = known.confirmed && now - known.heard <= silentAfter
+                    && !known.report.draining && !known.left;
             view.trusted = true;
         }
     }
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -10,6 +10,18 @@
 
 constexpr std::size_t quarantineAfterJobs = 2;
 
+// A heartbeat that was on its way longer than this is not answered in time anyway.
+constexpr std::int64_t lateByMs = 1000;
+
+// Clocks of workers may differ from ours by this share.
+constexpr double maxDrift = 0.025;
+
+template <typename Duration>
+std::int64_t millisecondsOf(Duration value)
+{
+    return std::chrono::duration_cast<milliseconds>(value).count();
+}
+
 std::string nameOf(const task_id &task)
 {
     return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
@@ -41,6 +53,7 @@
     stopping_.clear();
     ending_.clear();
     unsent_.clear();
+    byAddress_.clear();
     scheduler_.reset();
     committing_ = false;
     undecided_ = false;
@@ -77,6 +90,11 @@
                  {{"worker", report.id}, {"born", report.born}, {"sequence", report.sequence}});
         return done(worker_orders {});
     }
+    if (found != workers_.end() && isLate(found->second, report, now)) {
+        logEvent("worker.late_heartbeat",
+                 {{"worker", report.id}, {"born", report.born}, {"sequence", report.sequence}});
+        return done(worker_orders {});
+    }
     auto &known = workers_[report.id];
     const bool reborn = known.report.born != report.born;
     if (reborn) {
@@ -93,6 +111,8 @@
         logEvent("worker.draining", {{"worker", report.id}, {"born", report.born}});
     }
     known.report = report;
+    noteClock(known, now, wallMs, reborn);
+    noteAddress(report, now);
     known.heard = now;
     known.left.reset();
     noteRunning(known, now);
@@ -120,6 +140,57 @@
     commitEnds(std::move(ends), wallMs, answer);
 }
 
+// A heartbeat that a partition held up says nothing of the present: its worker may be gone.
+bool controller::isLate(const worker_state &known, const worker_report &report,
+                        time_point now) const
+{
+    if (report.clockMs == 0 || known.report.clockMs == 0 || known.report.born != report.born)
+        return false;
+    const auto drift = static_cast<std::int64_t>(
+            static_cast<double>(millisecondsOf(now - known.heard)) * maxDrift);
+    const auto offset = millisecondsOf(now.time_since_epoch()) - report.clockMs;
+    return offset > known.clockOffsetMs + drift + lateByMs;
+}
+
+// The first heartbeat of an incarnation has no earlier one to be compared with; it counts as
+// confirmed if its age by wall time is small, otherwise the next one does.
+void controller::noteClock(worker_state &known, time_point now, std::int64_t wallMs,
+                           bool first) const
+{
+    const auto &report = known.report;
+    const auto offset = millisecondsOf(now.time_since_epoch()) - report.clockMs;
+    if (first) {
+        known.clockOffsetMs = offset;
+        const auto age = wallMs - report.born - report.clockMs;
+        known.confirmed = report.clockMs == 0 || (age > -lateByMs && age < lateByMs);
+        return;
+    }
+    const auto drift = static_cast<std::int64_t>(
+            static_cast<double>(millisecondsOf(now - known.heard)) * maxDrift);
+    known.clockOffsetMs = std::min(offset, known.clockOffsetMs + drift);
+    known.confirmed = true;
+}
+
+// A newer incarnation at an address has replaced the one before, whatever its id.
+void controller::noteAddress(const worker_report &report, time_point now)
+{
+    if (report.address.empty())
+        return;
+    auto &holder = byAddress_[report.address];
+    if (holder == report.id)
+        return;
+    const auto earlier = workers_.find(holder);
+    if (earlier != workers_.end() && earlier->second.report.address == report.address) {
+        if (earlier->second.report.born > report.born)
+            return;
+        logEvent("worker.replaced",
+                 {{"worker", holder}, {"by", report.id}, {"address", report.address}});
+        if (!earlier->second.left)
+            earlier->second.left = now;
+    }
+    holder = report.id;
+}
+
 void controller::leave(time_point now, const std::string &worker)
 {
     const auto found = workers_.find(worker);
--- a/packages/batch/test/controller-test.cc
+++ b/packages/batch/test/controller-test.cc
@@ -305,6 +305,59 @@
     CHECK_EQUAL(1, questions);
 }
 
+// Guards against work for a worker that is known by a heartbeat only that a partition held up.
+TEST(Controller, ignoresHeartbeatThatWasHeldUp)
+{
+    leader.configure(1);
+    auto first = leader.report("w1");
+    first.born = leader.wallMs - 5000;
+    first.clockMs = 5000;
+    leader.beat(first);
+    auto heldUp = leader.report("w1"); // sent at once after the first
+    heldUp.born = first.born;
+    heldUp.clockMs = 5100;
+    leader.advance(4000);
+    CHECK_EQUAL(0, leader.beat(heldUp).leaseMs);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.advance(100);
+    CHECK_EQUAL(0, leader.state.runsOn("w1").size());
+}
+
+// Guards against a new leader that takes a held-up heartbeat for a worker: the next one shows it.
+TEST(Controller, newLeaderWaitsForASecondHeartbeatOfAnOldOne)
+{
+    leader.configure(1);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    auto heldUp = leader.report("w1");
+    heldUp.born = leader.wallMs - 9000;
+    heldUp.clockMs = 5000;
+    leader.beat(heldUp);
+    leader.advance(100);
+    CHECK_EQUAL(0, leader.state.runsOn("w1").size());
+    heldUp.sequence = ++leader.sequence;
+    heldUp.clockMs = 5100;
+    leader.beat(heldUp);
+    leader.advance(100);
+    CHECK_EQUAL(1, leader.state.runsOn("w1").size());
+}
+
+// Guards against waiting for the lease of a worker whose address a newer one has taken.
+TEST(Controller, newerWorkerAtAnAddressReplacesTheEarlier)
+{
+    auto running = startOne(leader_fixture::tasks(1, 1));
+    running.address = "10.0.0.1:1";
+    beatWith(running);
+    auto newer = leader.report("w9");
+    newer.born = 9000;
+    newer.address = running.address;
+    for (int ms = 0; ms < 2000; ms += 100) {
+        newer.sequence = ++leader.sequence;
+        leader.beat(newer);
+        leader.advance(100);
+    }
+    STRCMP_EQUAL("w9", leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).worker.c_str());
+}
+
 TEST_GROUP(ControllerGang)
 {
     leader_fixture leader;
