--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -16,6 +16,9 @@
 // Clocks of workers may differ from ours by this share.
 constexpr double maxDrift = 0.025;
 
+// A draining worker needs this time to stop a run and to report its end.
+constexpr std::int64_t lastReportMs = 1500;
+
 template <typename Duration>
 std::int64_t millisecondsOf(Duration value)
 {
@@ -344,7 +347,7 @@
     addPaces(known, orders);
     const bool busy = !orders.paces.empty() || waiting_ || committing_ || !orders.starts.empty()
             || !orders.stops.empty();
-    orders.retryMs = heartbeatPeriod(busy).count();
+    orders.retryMs = (known.report.draining ? options_.busyRetry : heartbeatPeriod(busy)).count();
     return orders;
 }
 
@@ -434,7 +437,8 @@
     }
 }
 
-// Tasks that can't end before a draining worker leaves are moved at once.
+// Tasks that can't end before a draining worker leaves are moved at once, and all that still run
+// shortly before it leaves: an end that it can't report any more would be run again.
 void controller::stopDraining(const worker_state &known)
 {
     if (!known.report.remainingMs)
@@ -445,7 +449,9 @@
             continue;
         const auto left = static_cast<std::int64_t>(job->spec.steps[task.step].estimateMs)
                 * (100 - std::min(100U, watch.percent)) / 100;
-        if (left > *known.report.remainingMs && stopping_.insert({task, watch.run}).second)
+        const auto remaining = *known.report.remainingMs;
+        if ((left > remaining || remaining < lastReportMs)
+            && stopping_.insert({task, watch.run}).second)
             logEvent("task.moved",
                      {{"task", nameOf(task)},
                       {"job", task.job},
--- a/packages/batch/test/controller-test.cc
+++ b/packages/batch/test/controller-test.cc
@@ -305,6 +305,20 @@
     CHECK_EQUAL(1, questions);
 }
 
+// Guards against an end that a leaving worker can't report, after which the task would run twice.
+TEST(Controller, stopsAllRunsShortlyBeforeAWorkerLeaves)
+{
+    auto running = startOne(leader_fixture::tasks(1, 1));
+    running.running.front().percent = 99;
+    running.draining = true;
+    running.remainingMs = 4000;
+    CHECK_EQUAL(0, beatWith(running).stops.size());
+    running.remainingMs = 1000;
+    const auto orders = beatWith(running);
+    CHECK_EQUAL(1, orders.stops.size());
+    CHECK_EQUAL(100, orders.retryMs);
+}
+
 // Guards against work for a worker that is known by a heartbeat only that a partition held up.
 TEST(Controller, ignoresHeartbeatThatWasHeldUp)
 {
