Reclaim reserved accelerators from urgent work of other tenants

Cause: only lower priorities were stopped for urgent work, so urgent tasks of a tenant beyond its reservation could keep what another tenant had reserved; tasks that last were never stopped at all. Ruled out: a cap on what a tenant may use, because others may use what is idle.

Change: work whose tenant needs no more than it has reserved is placed first, and stops urgent runs of tenants beyond their reservation as a last resort, and lasting tasks within their disruption budget.

--- a/packages/batch/src/preemption.cc
+++ b/packages/batch/src/preemption.cc
@@ -14,6 +14,9 @@
 // Added to the lost seconds of each run, so that few stops are preferred over many.
 constexpr double stopSeconds = 0.3;
 
+// Urgent work and work that lasts is stopped only where nothing else makes room.
+constexpr double lastResortSeconds = 1000;
+
 double coreSeconds(const amount &need, double seconds)
 {
     return (static_cast<double>(need.cpu) / 1000
@@ -29,28 +32,37 @@
     victimsReady_ = true;
     victimsOn_.resize(input_.workers.size());
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::size_t> gangs;
+    std::map<step_key, std::int64_t> disruptions; // still allowed
     for (std::size_t i = 0; i < input_.workers.size(); ++i) {
         for (const auto &[task, run] : input_.state->runsOn(input_.workers[i].id)) {
             const auto &job = *input_.state->findJob(task.job);
             const auto &spec = job.spec.steps[task.step];
-            if (job.ended() || job.source.priority == 0 || spec.longRunning || job.taskOf(task).done
-                || input_.stopping->contains({task, run.run}))
+            if (job.ended() || job.taskOf(task).done || input_.stopping->contains({task, run.run}))
+                continue;
+            const bool urgent = job.source.priority == 0;
+            if (urgent && (job.tenant.empty() || spec.longRunning))
                 continue;
+            if (spec.disruptionBudget > 0) {
+                const auto left = disruptions.try_emplace(stepOf(task), 0);
+                if (left.second)
+                    left.first->second = disruptionsLeft(job, task);
+                if (--left.first->second < 0)
+                    continue;
+            }
             auto number = victims_.size();
             if (spec.gang)
                 number = gangs.try_emplace({task.job, task.occurrence, task.step}, number)
                                  .first->second;
-            if (number == victims_.size())
-                victims_.emplace_back().need = spec.charged();
+            if (number == victims_.size()) {
+                auto &made = victims_.emplace_back();
+                made.need = spec.charged();
+                made.borrower = urgent ? &job.tenant : nullptr;
+                made.lasting = spec.longRunning;
+            }
             auto &item = victims_[number];
             item.runs.push_back(run);
-            double seconds = 0;
-            const auto progress = input_.progress->find(task);
-            if (progress != input_.progress->end())
-                seconds = std::chrono::duration<double>(input_.now - progress->second.started)
-                                  .count();
-            if (spec.checkpointable)
-                seconds = std::min(seconds, static_cast<double>(input_.checkpointMs) / 1000);
+            const bool lastResort = urgent || spec.longRunning;
+            const auto seconds = lastResort ? lastResortSeconds : lostSeconds(task, spec);
             item.cost += coreSeconds(spec.need, seconds + stopSeconds);
             auto &here = victimsOn_[i];
             if (here.empty() || here.back() != number)
@@ -61,6 +73,49 @@
         std::ranges::sort(here, {}, [this](std::size_t number) { return victims_[number].cost; });
 }
 
+// Returns the time of work that a stop throws away.
+double scheduler::pass::lostSeconds(const task_id &task, const step_spec &spec) const
+{
+    const auto progress = input_.progress->find(task);
+    if (progress == input_.progress->end())
+        return 0;
+    const auto worked
+            = std::chrono::duration<double>(input_.now - progress->second.started).count();
+    return spec.checkpointable ? std::min(worked, static_cast<double>(input_.checkpointMs) / 1000)
+                               : worked;
+}
+
+// Returns how many more tasks of a step may be stopped while its others are away.
+std::int64_t scheduler::pass::disruptionsLeft(const job_record &job, const task_id &task) const
+{
+    const auto &tasks = job.stepOf(task).tasks;
+    auto left = std::int64_t {job.spec.steps[task.step].disruptionBudget};
+    auto other = task;
+    for (other.index = 0; other.index < tasks.size(); ++other.index) {
+        const auto &state = tasks[other.index];
+        const auto progress = input_.progress->find(other);
+        const bool atWork = state.active && progress != input_.progress->end()
+                && progress->second.percent >= 100
+                && !input_.stopping->contains({other, state.run});
+        left -= atWork ? 0 : 1;
+    }
+    return left;
+}
+
+// Urgent work gives way only to work within a reservation, and only what its tenant runs beyond
+// its own. Tasks that last give way to nothing else either.
+bool scheduler::pass::mayStop(const unit &item, const victim &candidate) const
+{
+    if (candidate.taken)
+        return false;
+    if (!item.guaranteed)
+        return candidate.borrower == nullptr && !candidate.lasting;
+    if (candidate.borrower == nullptr)
+        return true;
+    const auto &use = uses_.at(*candidate.borrower);
+    return !use.withinReservation() && use.running > use.reserved;
+}
+
 // Lists what each further task of the unit costs on a worker.
 std::vector<scheduler::pass::offer> scheduler::pass::offersOf(const unit &item,
                                                               std::size_t worker) const
@@ -84,7 +139,7 @@
     add();
     for (const auto number : victimsOn_[worker]) {
         const auto &candidate = victims_[number];
-        if (candidate.taken || made >= limit)
+        if (made >= limit || !mayStop(item, candidate))
             continue;
         for (const auto &run : candidate.runs) {
             if (byId_.at(run.worker) == worker)
@@ -161,6 +216,8 @@
                 continue;
             for (const auto &run : chosen.runs) {
                 output_.preemptions.push_back(run);
+                if (chosen.borrower != nullptr)
+                    uses_.at(*chosen.borrower).running -= chosen.need.accelerators;
                 leaving_[byId_.at(run.worker)] += chosen.need;
             }
         }
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -38,6 +38,7 @@
 scheduler::pass::pass(const schedule_input &input, std::map<task_id, claim> &claims)
     : input_(input)
     , claims_(claims)
+    , uses_(detail::urgentUse(*input.state))
     , available_(input.workers.size())
     , leaving_(input.workers.size())
     , perStep_(input.workers.size())
@@ -54,8 +55,13 @@
             available_[i] -= spec.charged();
             if (spec.maxPerWorker > 0)
                 ++perStep_[i][{occurrenceName(task), task.step}];
-            if (input.stopping->contains({task, run.run}))
-                leaving_[i] += spec.charged();
+            if (!input.stopping->contains({task, run.run}))
+                continue;
+            leaving_[i] += spec.charged();
+            const auto &job = *input.state->findJob(task.job);
+            if (const auto use = uses_.find(job.tenant);
+                use != uses_.end() && job.source.priority == 0)
+                use->second.running -= spec.need.accelerators;
         }
     }
     for (const auto &[id, item] : claims_)
@@ -72,7 +78,7 @@
 
 schedule_output scheduler::pass::run()
 {
-    for (const auto &item : detail::collectUnits(input_))
+    for (const auto &item : detail::collectUnits(input_, uses_))
         consider(item);
     return std::move(output_);
 }
@@ -104,7 +110,7 @@
     if (item.job->source.adviceValidMs > 0)
         return wantAdvice(item);
     noteMisfit(item);
-    if (item.hopeless)
+    if (item.hopeless && !item.guaranteed)
         return;
     if (item.job->source.priority == 0 && preemptions_ < maxPreemptions) {
         ++preemptions_;
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -29,6 +29,8 @@
         std::vector<assignment> runs;
         amount need; // of one run
         double cost = 0; // core seconds of work that is lost
+        const std::string *borrower = nullptr; // tenant of urgent work; nullptr: not urgent
+        bool lasting = false; // runs until its job is cancelled
         bool taken = false;
     };
 
@@ -68,11 +70,15 @@
     // preemption.cc
     void collectVictims();
     bool preempt(const unit &item);
+    bool mayStop(const unit &item, const victim &candidate) const;
+    double lostSeconds(const task_id &task, const step_spec &spec) const;
+    std::int64_t disruptionsLeft(const job_record &job, const task_id &task) const;
     std::vector<offer> offersOf(const unit &item, std::size_t worker) const;
     std::vector<offer> cheapest(const unit &item, const std::vector<std::size_t> &from) const;
 
     const schedule_input &input_;
     std::map<task_id, claim> &claims_;
+    std::map<std::string, detail::urgent_use> uses_; // by tenant
     std::vector<amount> available_; // by worker; negative where room is claimed but not yet free
     std::vector<amount> leaving_; // room of runs that are being stopped
     std::vector<std::map<std::pair<std::string, std::uint32_t>, std::uint32_t>>
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -53,7 +53,27 @@
     units.push_back(std::move(fresh));
 }
 
-void addUnits(const job_record &job, const schedule_input &input, std::vector<unit> &units)
+// The most accelerators that one occurrence of a job can use, if its steps run one after the other.
+std::int64_t widestStep(const job_record &job)
+{
+    std::int64_t widest = 0;
+    for (const auto &step : job.spec.steps)
+        widest = std::max(widest, std::int64_t {step.count} * step.need.accelerators);
+    return widest;
+}
+
+std::int64_t runningAccelerators(const job_record &job)
+{
+    std::int64_t running = 0;
+    for (const auto &steps : job.occurrences) {
+        for (std::size_t i = 0; i < steps.size(); ++i)
+            running += std::int64_t {steps[i].activeCount} * job.spec.steps[i].need.accelerators;
+    }
+    return running;
+}
+
+void addUnits(const job_record &job, const schedule_input &input, bool guaranteed,
+              std::vector<unit> &units)
 {
     const auto objective = job.objectiveMs();
     for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
@@ -74,6 +94,7 @@
             base.latestStartMs = due + objective - spec.estimateMs;
             // Tasks that last earn for as long as they run.
             base.hopeless = !spec.longRunning && input.wallMs > due + lateFactor * objective;
+            base.guaranteed = guaranteed;
             if (spec.gang)
                 addGang(step, std::move(base), units);
             else
@@ -84,15 +105,37 @@
 
 } // namespace
 
-std::vector<unit> collectUnits(const schedule_input &input)
+std::map<std::string, urgent_use> urgentUse(const ledger &state)
+{
+    std::map<std::string, urgent_use> uses;
+    for (const auto &owner : state.currentConfiguration().tenants)
+        uses[owner.name].reserved = owner.reservedAccelerators;
+    state.forEachOpenJob([&uses](const job_record &job) {
+        if (job.source.priority != 0 || job.tenant.empty())
+            return;
+        auto &use = uses[job.tenant];
+        use.running += runningAccelerators(job);
+        if (!job.ended())
+            use.wanted += widestStep(job);
+    });
+    return uses;
+}
+
+std::vector<unit> collectUnits(const schedule_input &input,
+                               const std::map<std::string, urgent_use> &uses)
 {
     std::vector<unit> units;
     input.state->forEachOpenJob([&](const job_record &job) {
-        if (!job.ended())
-            addUnits(job, input, units);
+        if (job.ended())
+            return;
+        const auto use = uses.find(job.tenant);
+        const bool guaranteed
+                = job.source.priority == 0 && use != uses.end() && use->second.withinReservation();
+        addUnits(job, input, guaranteed, units);
     });
     std::ranges::stable_sort(units, {}, [](const unit &item) {
-        return std::tuple(item.hopeless, item.job->source.priority, item.latestStartMs);
+        return std::tuple(!item.guaranteed, item.hopeless, item.job->source.priority,
+                          item.latestStartMs);
     });
     return units;
 }
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -2,6 +2,7 @@
 
 #include "batch/scheduler.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
     std::vector<std::uint32_t> indexes;
     std::int64_t latestStartMs = 0; // Unix milliseconds
     bool hopeless = false; // too late to earn anything
+    bool guaranteed = false; // urgent, and all urgent work of its tenant fits the reservation
     bool lastAttempt = false; // one more failure fails the job
     std::vector<std::string> avoid; // workers on which a task of the unit has failed
 
@@ -35,7 +37,20 @@
     return stepOf(item.first);
 }
 
+// Accelerators of urgent work, by tenant; jobs without a tenant are left out.
+struct urgent_use
+{
+    std::int64_t reserved = 0;
+    std::int64_t wanted = 0; // of all open jobs
+    std::int64_t running = 0;
+
+    bool withinReservation() const { return wanted <= reserved; }
+};
+
+std::map<std::string, urgent_use> urgentUse(const ledger &state);
+
 // Returns all units that may start now, in the order in which they are placed.
-std::vector<unit> collectUnits(const schedule_input &input);
+std::vector<unit> collectUnits(const schedule_input &input,
+                               const std::map<std::string, urgent_use> &uses);
 
 } // namespace persimmon::batch::detail
--- a/packages/batch/test/fixture.h
+++ b/packages/batch/test/fixture.h
@@ -61,16 +61,17 @@
                                 3.0, 1000, true, 0});
         if (priority != 2)
             value.queues.push_back({"q2", "host", "/q2/", "pool", 2, attempts, 3.0, 1000, true, 0});
+        value.tenants = tenants;
         commit(set_configuration {value});
     }
 
-    void submit(const std::string &path, const step_spec &step)
+    void submit(const std::string &path, const step_spec &step, std::string_view key = {})
     {
         job_spec spec;
         spec.payload = "work";
         spec.steps = {step};
         status outcome = error {};
-        queues.submit(wallMs, {"host", path, ""}, spec,
+        queues.submit(wallMs, {"host", path, key}, spec,
                       [&](const status &done) { outcome = done; });
         CHECK_FALSE(failed(outcome));
     }
@@ -118,6 +119,7 @@
     time_point now {std::chrono::seconds {100}};
     std::int64_t wallMs = 1'000'000;
     std::uint64_t version = 0;
+    std::vector<tenant> tenants; // of configurations to come
     std::uint64_t sequence = 0;
     bool hold = false;
     std::vector<std::pair<command, std::function<void(status)>>> held;
--- a/packages/batch/test/scheduler-test.cc
+++ b/packages/batch/test/scheduler-test.cc
@@ -198,3 +198,68 @@
     leader.advance(100);
     CHECK_EQUAL(2, activeTasks("b"));
 }
+
+// Guards against accelerators of a tenant that urgent work of others keeps.
+TEST(Scheduler, reclaimsReservedAcceleratorsFromUrgentWorkOfOthers)
+{
+    join(1);
+    leader.tenants = {{"borrower", {"k1"}, 0}, {"owner", {"k2"}, 8}};
+    leader.configure(0);
+    leader.submit("/q0/a", leader_fixture::tasks(1, 8), "k1");
+    leader.advance(100);
+    CHECK_EQUAL(1, activeTasks("a"));
+    leader.submit("/q0/b", leader_fixture::tasks(1, 8), "k2");
+    leader.advance(100);
+    auto report = leader.report("w1");
+    report.running.push_back({{"a", 0, 0, 0}, 1, "", 10, 0});
+    CHECK_EQUAL(1, leader.beat(report).stops.size());
+    leader.commit(end_runs {{{{"a", 0, 0, 0}, 1, end_kind::Stopped, ""}}, leader.wallMs});
+    leader.advance(100);
+    CHECK_EQUAL(1, activeTasks("b"));
+    CHECK_EQUAL(0, activeTasks("a"));
+}
+
+// Guards against a tenant beyond its reservation that displaces urgent work of others.
+TEST(Scheduler, urgentWorkBeyondTheReservationStopsNoUrgentWork)
+{
+    join(1);
+    leader.tenants = {{"first", {"k1"}, 0}, {"second", {"k2"}, 4}};
+    leader.configure(0);
+    leader.submit("/q0/a", leader_fixture::tasks(1, 8), "k1");
+    leader.advance(100);
+    leader.submit("/q0/b", leader_fixture::tasks(1, 8), "k2");
+    leader.advance(100);
+    auto report = leader.report("w1");
+    report.running.push_back({{"a", 0, 0, 0}, 1, "", 10, 0});
+    CHECK_EQUAL(0, leader.beat(report).stops.size());
+}
+
+// Guards against a reclaim that takes what a tenant holds within its own reservation.
+TEST(Scheduler, reclaimsOnlyFromTenantsBeyondTheirReservation)
+{
+    join(2);
+    leader.tenants = {{"first", {"k1"}, 8}, {"second", {"k2"}, 0}, {"third", {"k3"}, 8}};
+    leader.configure(0);
+    leader.submit("/q0/a", leader_fixture::tasks(1, 8), "k1");
+    leader.submit("/q0/b", leader_fixture::tasks(1, 8), "k2");
+    leader.advance(100);
+    leader.submit("/q0/c", leader_fixture::tasks(1, 8), "k3");
+    leader.advance(100);
+    leader.commit(end_runs {{{{"b", 0, 0, 0}, 1, end_kind::Stopped, ""}}, leader.wallMs});
+    leader.advance(100);
+    CHECK_EQUAL(1, activeTasks("a"));
+    CHECK_EQUAL(1, activeTasks("c"));
+}
+
+// Guards against work within a reservation that waits for work beyond another one.
+TEST(Scheduler, placesWorkWithinAReservationFirst)
+{
+    leader.tenants = {{"borrower", {"k1"}, 0}, {"owner", {"k2"}, 8}};
+    leader.configure(0);
+    leader.submit("/q0/a", leader_fixture::tasks(1, 8), "k1");
+    leader.wallMs += 10;
+    leader.submit("/q0/b", leader_fixture::tasks(1, 8), "k2");
+    join(1);
+    leader.advance(100);
+    CHECK_EQUAL(1, activeTasks("b"));
+}
--- a/packages/system/test/batch-test.cc
+++ b/packages/system/test/batch-test.cc
@@ -53,11 +53,7 @@
         std::filesystem::create_directories(folder_);
         for (int i = 0; i < schedulers; ++i)
             startScheduler(i, true);
-        std::ofstream(folder_ + "/gateway.ini")
-                << "[instance]\nid = gateway\nip = 127.0.32.9\n[http]\nlisten = " << gateway()
-                << "\nready_listen = 127.0.32.9:" << port_ + 1
-                << "\nmetrics_listen = 127.0.32.9:" << port_ + 3 << "\n"
-                << group();
+        writeGatewaySettings(group());
         gateway_ = launch("gateway", "gateway");
     }
 
@@ -155,6 +151,14 @@
         return -1;
     }
 
+    // Puts one more seed into the gateway's settings file and tells it nothing.
+    void addGatewaySeed(const std::string &address) const
+    {
+        auto text = group();
+        text.insert(text.rfind('\n'), "," + address + ":" + std::to_string(port_));
+        writeGatewaySettings(text);
+    }
+
     // Freezes a scheduler, or wakes it.
     void signalScheduler(int number, int signal) { processes_.at(number).sendSignal(signal); }
 
@@ -197,6 +201,15 @@
     std::string scheduler(int number) const { return ip(number) + ":" + std::to_string(port_); }
     std::string gateway() const { return "127.0.32.9:" + std::to_string(port_); }
 
+    void writeGatewaySettings(const std::string &group) const
+    {
+        std::ofstream(folder_ + "/gateway.ini")
+                << "[instance]\nid = gateway\nip = 127.0.32.9\n[http]\nlisten = " << gateway()
+                << "\nready_listen = 127.0.32.9:" << port_ + 1
+                << "\nmetrics_listen = 127.0.32.9:" << port_ + 3 << "\n"
+                << group;
+    }
+
     std::string group() const
     {
         std::string seeds;
@@ -321,6 +334,18 @@
     CHECK_EQUAL(0, system.gatewayProcess().waitForExit(milliseconds {8000}));
 }
 
+// Guards against new settings that are noticed only by a signal.
+TEST(BatchSystem, settingsFileIsReadAgainWhenItChanges)
+{
+    batch_system system;
+    CHECK_TRUE(system.configure());
+    system.addGatewaySeed("127.0.32.7");
+    CHECK_TRUE(waitUntil(milliseconds {5000}, [&] {
+        return system.lines("event=process.reloaded", "seeds=4").find("outcome=ok")
+                != std::string::npos;
+    }));
+}
+
 // Guards against what only a long run shows: schedulers are killed, frozen and lose their disks one
 // after the other while jobs keep coming. PERSIMMON_SOAK_SECONDS and PERSIMMON_SOAK_SEED set the
 // length and the order.
