--- /dev/null
+++ b/packages/batch/bench/leader-bench.cc
@@ -0,0 +1,120 @@
+// Processor time of a leader's work on its workers, by the size of the fleet: a heartbeat, and a
+// scheduling pass with work that waits.
+#include "batch/controller.h"
+
+#include <chrono>
+#include <cstdio>
+
+using namespace persimmon;
+using namespace persimmon::batch;
+
+namespace {
+
+constexpr int sizes[] = {300, 1000, 3000, 14000};
+constexpr int tasksPerWorker = 4;
+constexpr int rounds = 5;
+
+double microsecondsSince(std::chrono::steady_clock::time_point begin)
+{
+    return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin)
+            .count();
+}
+
+class fleet
+{
+public:
+    explicit fleet(int workers)
+        : controller_(state_, controller_options {},
+                      [this](const command &value, const std::function<void(status)> &done) {
+                          state_.apply(value);
+                          done(std::monostate {});
+                      })
+    {
+        controller_.beginTerm(1, now_);
+        configuration value;
+        value.version = 1;
+        value.queues.push_back({"q", "host", "/q/", "pool", 1, 3, 3.0, 1000, true, 0});
+        state_.apply(command {set_configuration {value}});
+        for (int i = 0; i < workers; ++i) {
+            auto &report = reports_.emplace_back();
+            report.id = "i-" + std::to_string(i);
+            report.born = 1;
+            report.pool = "pool";
+            report.address = "10.0.0.1:" + std::to_string(i);
+            report.rack = "r-" + std::to_string(i / 8);
+            report.labels = {"a", report.rack};
+            report.capacity = {128000, 500000, 8};
+        }
+        heartbeats();
+        submit(workers * tasksPerWorker, 1);
+        heartbeats();
+        submit(workers, 8); // waits for room
+    }
+
+    // Returns microseconds for one heartbeat.
+    double heartbeats()
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        for (auto &report : reports_) {
+            ++report.sequence;
+            report.running.clear();
+            for (const auto &[task, run] : state_.runsOn(report.id))
+                report.running.push_back({task, run.run, {}, 10, 0});
+            controller_.heartbeat(now_, wallMs_, report, [](const result<worker_orders> &) {});
+        }
+        return microsecondsSince(begin) / static_cast<double>(reports_.size());
+    }
+
+    // Returns microseconds for one pass.
+    double pass()
+    {
+        now_ += milliseconds {200};
+        wallMs_ += 200;
+        const auto begin = std::chrono::steady_clock::now();
+        controller_.tick(now_, wallMs_);
+        return microsecondsSince(begin);
+    }
+
+private:
+    void submit(int tasks, int accelerators)
+    {
+        constexpr int tasksPerJob = 16;
+        for (int first = 0; first < tasks; first += tasksPerJob) {
+            step_spec step;
+            step.count = tasksPerJob;
+            step.need = {1000, 1000, accelerators};
+            step.estimateMs = 60000;
+            job_spec spec;
+            spec.steps = {step};
+            state_.apply(command {accept_job {"job" + std::to_string(++jobs_), "t",
+                                              state_.currentConfiguration().queues.front(), spec,
+                                              wallMs_}});
+        }
+        pass();
+        pass();
+    }
+
+    ledger state_;
+    controller controller_;
+    std::vector<worker_report> reports_;
+    time_point now_ {std::chrono::seconds {100}};
+    std::int64_t wallMs_ = 1'000'000;
+    int jobs_ = 0;
+};
+
+} // namespace
+
+int main()
+{
+    std::printf("%8s %20s %16s\n", "workers", "heartbeat, us each", "pass, ms");
+    for (const auto size : sizes) {
+        fleet measured(size);
+        double heartbeat = 0;
+        double pass = 0;
+        for (int i = 0; i < rounds; ++i) {
+            heartbeat += measured.heartbeats() / rounds;
+            pass += measured.pass() / rounds / 1000;
+        }
+        std::printf("%8d %20.1f %16.2f\n", size, heartbeat, pass);
+    }
+}
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -28,6 +28,7 @@
     milliseconds stallLimit {2500}; // a run without progress for this time is moved
     milliseconds quarantine {6000}; // of a worker that failed two jobs in a row
     milliseconds keepEnded {300000}; // jobs are known for this time after their end
+    milliseconds keepGone {60000}; // workers are known for this time after their last heartbeat
     milliseconds leaderLease {1000}; // an earlier leader may still have extended leases
     milliseconds missingLimit {1600}; // a run in no list for this time was never started; longer
                                       // than a stop takes, while which a run is in no list
@@ -89,6 +90,7 @@
         worker_report report;
         time_point firstHeard {};
         time_point heard {};
+        time_point nextHeartbeat {}; // expected
         std::int64_t clockOffsetMs = 0; // our clock less the worker's, at the least
         bool confirmed = false; // its newest heartbeat was not held up on its way
         time_point closedUntil {}; // quarantined
@@ -130,7 +132,8 @@
     void askAdvice(time_point now, std::vector<advice_want> wants);
     void ask(time_point now, const step_key &step, const std::vector<advised_worker> &asked,
              milliseconds valid);
-    void forgetOld(std::int64_t wallMs);
+    void forgetOld(time_point now, std::int64_t wallMs);
+    void forgetGone(time_point now);
     std::vector<worker_view> viewWorkers(time_point now) const;
 
     const ledger &state_;
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -22,6 +22,7 @@
     std::string rack;
     std::vector<std::string> labels;
     amount capacity;
+    milliseconds untilContact {0}; // expected time until orders can be sent
     int penalty = 0; // 0: sound; higher values are used last
     bool trusted = true; // false: no task on its last attempt
     bool open = true; // false: takes no new task
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -79,4 +79,11 @@
     std::int64_t retryMs = 0; // until the next heartbeat
 };
 
+// Orders for a worker, and the address to which it should send its later reports.
+struct routed_orders
+{
+    worker_orders orders;
+    std::string reportTo;
+};
+
 } // namespace persimmon::batch
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -36,7 +36,7 @@
     findStalled(now);
     stopWaitingGangs(now);
     schedule(now, wallMs);
-    forgetOld(wallMs);
+    forgetOld(now, wallMs);
 }
 
 void controller::expireLeases(time_point now, std::int64_t wallMs)
@@ -160,6 +160,9 @@
         view.rack = known.report.rack;
         view.labels = known.report.labels;
         view.capacity = known.report.capacity;
+        view.untilContact
+                = std::max(milliseconds {0},
+                           std::chrono::duration_cast<milliseconds>(known.nextHeartbeat - now));
         const bool quarantined = known.closedUntil > now;
         closed += quarantined ? 1 : 0;
         view.penalty = quarantined
@@ -278,11 +281,29 @@
              });
 }
 
-void controller::forgetOld(std::int64_t wallMs)
+// Drops workers that are silent for long and run nothing.
+void controller::forgetGone(time_point now)
+{
+    std::erase_if(workers_, [&](const auto &item) {
+        const auto &[id, known] = item;
+        if (known.heard + options_.keepGone > now || !state_.runsOn(id).empty())
+            return false;
+        logEvent("worker.forgotten",
+                 {{"worker", id},
+                  {"born", known.report.born},
+                  {"silent_ms",
+                   std::chrono::duration_cast<milliseconds>(now - known.heard).count()}});
+        return true;
+    });
+    std::erase_if(byAddress_, [this](const auto &item) { return !workers_.contains(item.second); });
+}
+
+void controller::forgetOld(time_point now, std::int64_t wallMs)
 {
     if (wallMs < lastForgetMs_ + forgetPeriodMs && wallMs > lastForgetMs_ - forgetPeriodMs)
         return;
     lastForgetMs_ = wallMs;
+    forgetGone(now);
     advice_.forget([this](const std::string &id) {
         const auto *job = state_.findJob(id);
         return job != nullptr && !job->ended();
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -347,7 +347,9 @@
     addPaces(known, orders);
     const bool busy = !orders.paces.empty() || waiting_ || committing_ || !orders.starts.empty()
             || !orders.stops.empty();
-    orders.retryMs = (known.report.draining ? options_.busyRetry : heartbeatPeriod(busy)).count();
+    const auto period = known.report.draining ? options_.busyRetry : heartbeatPeriod(busy);
+    known.nextHeartbeat = known.heard + period;
+    orders.retryMs = period.count();
     return orders;
 }
 
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -22,6 +22,9 @@
 // Workers in one question.
 constexpr std::size_t maxAdvice = 30;
 
+// Urgent work goes to workers that are heard within this time, where there is a choice.
+constexpr milliseconds soonContact {250};
+
 std::string occurrenceName(const task_id &task)
 {
     return task.job + "." + std::to_string(task.occurrence);
@@ -205,12 +208,20 @@
     std::ranges::stable_sort(found, {}, [&](std::size_t worker) {
         const auto &view = workers[worker];
         const bool far = !rack.empty() && std::ranges::find(view.labels, rack) == view.labels.end();
-        return std::tuple(far, view.penalty, available_[worker].accelerators,
-                          available_[worker].cpu);
+        return std::tuple(far, view.penalty, contactRank(item, worker),
+                          available_[worker].accelerators, available_[worker].cpu);
     });
     return found;
 }
 
+// Returns 0 for workers that are heard soon; only urgent work prefers them.
+std::int64_t scheduler::pass::contactRank(const unit &item, std::size_t worker) const
+{
+    if (item.job->source.priority != 0)
+        return 0;
+    return input_.workers[worker].untilContact / soonContact;
+}
+
 // Places tasks on the workers in their order; a gang as a whole or not at all.
 std::vector<scheduler::pass::slot> scheduler::pass::fill(const unit &item,
                                                          const std::vector<std::size_t> &from) const
@@ -242,7 +253,7 @@
     const auto &workers = input_.workers;
     const auto need = item.spec->charged();
     std::vector<slot> best;
-    std::tuple<bool, int, std::int64_t> bestScore;
+    std::tuple<bool, int, std::int64_t, std::int64_t> bestScore;
     for (const auto &[rack, members] : racks_) {
         std::int64_t room = 0;
         std::int64_t left = 0;
@@ -262,10 +273,13 @@
         if (slots.empty())
             continue;
         int penalty = 0;
-        for (const auto &place : slots)
+        std::int64_t contact = 0;
+        for (const auto &place : slots) {
             penalty = std::max(penalty, workers[place.worker].penalty);
+            contact = std::max(contact, contactRank(item, place.worker));
+        }
         const bool far = !item.spec->preferredRack.empty() && rack != item.spec->preferredRack;
-        const auto score = std::tuple(far, penalty, left);
+        const auto score = std::tuple(far, penalty, contact, left);
         if (best.empty() || score < bestScore) {
             best = std::move(slots);
             bestScore = score;
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -58,6 +58,7 @@
     std::vector<std::size_t> candidates(const unit &item,
                                         const std::vector<std::size_t> &from) const;
     std::vector<slot> fill(const unit &item, const std::vector<std::size_t> &from) const;
+    std::int64_t contactRank(const unit &item, std::size_t worker) const;
     bool usable(const unit &item, std::size_t worker) const;
     bool dominated(const unit &item) const;
     void noteMisfit(const unit &item);
--- a/packages/batch/test/controller-test.cc
+++ b/packages/batch/test/controller-test.cc
@@ -430,3 +430,19 @@
     leader.advance(700);
     CHECK_EQUAL(1, stopsOf(running));
 }
+
+// Guards against a leader whose memory grows with each worker that ever was.
+TEST(Controller, forgetsWorkersThatAreGone)
+{
+    leader.configure(1);
+    leader.beat(leader.report("w1"));
+    leader.beat(leader.report("w2"));
+    leader.submit("/q1/a", leader_fixture::tasks(1, 8));
+    leader.advance(100);
+    CHECK_EQUAL(2, leader.workers.workerCount());
+    for (int i = 0; i < 20; ++i) {
+        leader.advance(10000);
+        leader.beat(leader.report("w2"));
+    }
+    CHECK_EQUAL(1, leader.workers.workerCount());
+}
--- a/packages/batch/test/fixture.h
+++ b/packages/batch/test/fixture.h
@@ -10,8 +10,8 @@
 // Ledger and controller of a leader whose commits take effect at once, or when the test says so.
 struct leader_fixture
 {
-    leader_fixture()
-        : workers(state, options(),
+    explicit leader_fixture(controller_options values = options())
+        : workers(state, values,
                   [this](const command &value, std::function<void(status)> done) {
                       if (hold) {
                           held.emplace_back(value, std::move(done));
--- a/packages/batch/test/scheduler-test.cc
+++ b/packages/batch/test/scheduler-test.cc
@@ -263,3 +263,23 @@
     leader.advance(100);
     CHECK_EQUAL(1, activeTasks("b"));
 }
+
+// Guards against urgent work that waits for the next heartbeat of a worker while others are heard
+// earlier.
+TEST(Scheduler, placesUrgentWorkWhereOrdersArriveSoon)
+{
+    auto options = leader_fixture::options();
+    options.retry = milliseconds {1000};
+    leader_fixture patient(options);
+    patient.configure(0);
+    patient.beat(patient.report("early"));
+    patient.advance(900);
+    auto small = patient.report("late");
+    small.capacity.accelerators = 4; // the better fit
+    patient.beat(small);
+    patient.submit("/q0/a", leader_fixture::tasks(1, 2));
+    patient.submit("/q2/b", leader_fixture::tasks(1, 2));
+    patient.advance(20);
+    STRCMP_EQUAL("early", patient.state.findJob("a")->taskOf({"a", 0, 0, 0}).worker.c_str());
+    STRCMP_EQUAL("late", patient.state.findJob("b")->taskOf({"b", 0, 0, 0}).worker.c_str());
+}
--- a/support/bench.sh
+++ b/support/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measurements: support/bench.sh path|log|placement|slots|capacity|rollout
+# Measurements: support/bench.sh path|log|placement|batch|slots|capacity|rollout
 # Each prints a table; nothing is left running.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -7,10 +7,11 @@
 case "${1:-}" in
 log) exec build/packages/consensus/log-bench ;;
 placement) exec build/packages/placement/placement-bench ;;
+batch) exec build/packages/batch/batch-bench ;;
 slots) exec build/packages/entry/slots-bench ;;
 path | capacity | rollout) exec bash "support/bench-$1.sh" ;;
 *)
-  echo "usage: support/bench.sh path|log|placement|slots|capacity|rollout" >&2
+  echo "usage: support/bench.sh path|log|placement|batch|slots|capacity|rollout" >&2
   exit 24
   ;;
 esac
