--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -73,6 +73,26 @@
     // Schedules in the next tick instead of after the usual pause.
     void wake() { dirty_ = true; }
 
+    // What is known of the newest worker on a machine.
+    struct machine_view
+    {
+        std::string worker; // empty: none has been heard
+        std::int64_t born = 0;
+        bool heard = false; // recently
+        bool draining = false;
+        std::size_t runs = 0; // ordered and not known to have ended
+        double lostSeconds = 0; // core seconds that stopping all of them would throw away
+    };
+
+    // Returns the newest workers of the machines that have been heard, by machine.
+    std::map<std::string, machine_view> viewMachines(time_point now) const;
+
+    // Sets the machines whose workers take no new tasks.
+    void closeMachines(std::set<std::string> machines);
+
+    // Orders all runs of a worker to stop, but for those that a disruption budget protects.
+    void evacuate(const std::string &worker);
+
     std::size_t workerCount() const { return workers_.size(); }
 
 private:
@@ -105,6 +125,9 @@
 
     using run_key = std::pair<task_id, std::uint32_t>;
 
+    bool isAtWork(const task_id &task) const;
+    bool isSilent(const worker_state &known, time_point now) const;
+    bool isUsable(const worker_state &known, time_point now) const;
     bool isStale(const worker_state &known, const worker_report &report) const;
     bool isLate(const worker_state &known, const worker_report &report, time_point now) const;
     void noteClock(worker_state &known, time_point now, std::int64_t wallMs, bool first) const;
@@ -144,6 +167,7 @@
     time_point since_ {};
     std::map<std::string, worker_state> workers_;
     std::map<std::string, std::string> byAddress_; // newest worker at each address
+    std::set<std::string> closedMachines_;
     std::set<run_key> stopping_; // runs ordered to stop to make room or to move them
     std::set<task_id> ending_; // ends of lost workers that are being committed
     std::map<run_key, time_point> unsent_; // placed by this leader, no order sent yet
--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -64,13 +64,31 @@
 {
     std::int64_t endedBeforeMs = 0;
 };
+// Plans a wave of upkeep; the id is not used again.
+struct start_wave
+{
+    wave value;
+    std::int64_t wallMs = 0;
+};
+
+// Where a machine of a wave stands. Ordered: its upkeep may have begun. Gone: it left the platform.
+enum class upkeep_phase : std::uint8_t { Waiting, Ordered, Down, Finished, Gone };
+
+struct note_upkeep
+{
+    std::uint64_t wave = 0;
+    std::string machine;
+    upkeep_phase phase = upkeep_phase::Waiting;
+    std::int64_t born = 0; // newest incarnation on the machine when it was ordered, 0: none
+};
+
 // Has no effect; once it is applied, all earlier proposals are decided.
 struct no_op
 {
 };
 
 using command = std::variant<no_op, set_configuration, accept_job, cancel_job, start_runs, end_runs,
-                             forget_jobs>;
+                             forget_jobs, start_wave, note_upkeep>;
 
 struct task_state
 {
@@ -132,6 +150,22 @@
     std::int64_t objectiveMs() const;
 };
 
+struct wave_machine
+{
+    upkeep_phase phase = upkeep_phase::Waiting;
+    std::int64_t born = 0;
+};
+
+struct wave_record
+{
+    wave spec;
+    std::int64_t startedMs = 0; // Unix milliseconds
+    std::map<std::string, wave_machine> machines;
+
+    // True if the upkeep of every machine that stays has begun.
+    bool done() const;
+};
+
 enum class ledger_event_kind : std::uint8_t { JobBegun, JobEnded, RunEnded };
 
 // What a command has changed, for metrics and logs.
@@ -176,6 +210,9 @@
     // Returns the number of jobs of a queue that no run was ordered for.
     std::size_t waitingJobs(std::string_view queueName) const;
 
+    // Returns all waves by id; ended ones stay known.
+    const std::map<std::uint64_t, wave_record> &waves() const { return waves_; }
+
     std::size_t jobCount() const { return jobs_.size(); }
 
 private:
@@ -186,6 +223,8 @@
     void handle(const start_runs &input);
     void handle(const end_runs &input);
     void handle(const forget_jobs &input);
+    void handle(const start_wave &input);
+    void handle(const note_upkeep &input);
 
     void start(const assignment &run, std::int64_t wallMs);
     static void note(job_record &job, job_event event);
@@ -199,6 +238,7 @@
 
     configuration configuration_;
     std::map<std::string, job_record> jobs_;
+    std::map<std::uint64_t, wave_record> waves_;
     std::function<void(const ledger_event &)> observer_ = [](const ledger_event &) {};
 
     // Derived from the jobs.
@@ -210,6 +250,9 @@
 // Short name of a task within its job: OCCURRENCE.STEP.INDEX.
 std::string shortName(const task_id &task);
 
+// Stable lower-case name for logs.
+std::string_view toName(upkeep_phase phase);
+
 // Encodes a command for the log.
 consensus::byte_buffer encode(const command &value);
 
--- a/packages/batch/include/batch/model.h
+++ b/packages/batch/include/batch/model.h
@@ -27,6 +27,9 @@
 // How often a need fits into free resources; 0 when anything is missing.
 std::int64_t timesFitting(const amount &available, const amount &need);
 
+// Returns the worth of resources used for a time, in core seconds.
+double coreSeconds(const amount &used, double seconds);
+
 // One step of a job: tasks of the same kind.
 struct step_spec
 {
@@ -102,6 +105,17 @@
     const tenant *findTenant(std::string_view key) const;
 };
 
+// Planned upkeep of machines, some of them at a time.
+struct wave
+{
+    std::uint64_t id = 0;
+    std::vector<std::string> machines;
+    std::int64_t durationMs = 0; // time wanted for all of them
+    std::uint32_t atOnce = 1; // machines that may be down at the same time
+
+    friend bool operator==(const wave &, const wave &) = default;
+};
+
 struct task_id
 {
     std::string job;
--- a/packages/batch/include/batch/service.h
+++ b/packages/batch/include/batch/service.h
@@ -44,6 +44,14 @@
     // Returns the configuration in force as the operator sent it. Fails with NotReady or Timeout.
     void readConfiguration(callback<std::string> done);
 
+    // Plans a wave of upkeep; the same id is accepted again without effect. Fails with
+    // InvalidValue, or OutcomeUnknown.
+    void startWave(std::int64_t wallMs, wave value, std::function<void(status)> done);
+
+    // Returns whether the upkeep of all machines of a wave has begun. Fails with NotFound, NotReady
+    // or Timeout.
+    void findWave(std::uint64_t id, callback<bool> done);
+
     // Explains a job in one line for operators. Fails with NotFound.
     result<std::string> explain(const std::string &id) const;
 
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -33,6 +33,7 @@
     std::uint64_t sequence = 0; // rises with each heartbeat of an incarnation
     std::int64_t clockMs = 0; // steady clock of the worker at the sending; 0: not known
     std::string address; // where the worker serves; another incarnation there has replaced it
+    std::string machine; // that the worker is one life of, empty: not known
     std::string pool;
     std::string zone;
     std::string rack;
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -146,13 +146,23 @@
     }
 }
 
+bool controller::isSilent(const worker_state &known, time_point now) const
+{
+    return now - known.heard > lateHeartbeat + heartbeatPeriod(false);
+}
+
+// True if a worker may get tasks, quarantine aside.
+bool controller::isUsable(const worker_state &known, time_point now) const
+{
+    return known.confirmed && !isSilent(known, now) && !known.report.draining && !known.left
+            && !closedMachines_.contains(known.report.machine);
+}
+
 std::vector<worker_view> controller::viewWorkers(time_point now) const
 {
-    const auto silentAfter = lateHeartbeat + heartbeatPeriod(false);
     std::vector<worker_view> views;
     std::size_t closed = 0;
     for (const auto &[id, known] : workers_) {
-        const bool silent = now - known.heard > silentAfter;
         worker_view view;
         view.id = id;
         view.born = known.report.born;
@@ -169,16 +179,14 @@
                 ? 3
                 : static_cast<int>(std::min<std::size_t>(2, known.failedJobs.size()));
         view.trusted = known.failedJobs.empty() && !quarantined;
-        view.open = known.confirmed && !silent && !known.report.draining && !known.left
-                && !quarantined;
+        view.open = isUsable(known, now) && !quarantined;
         views.push_back(std::move(view));
     }
     // With most workers in quarantine the cause is not theirs.
     if (closed * 2 > views.size()) {
         for (auto &view : views) {
             const auto &known = workers_.at(view.id);
-            view.open = known.confirmed && now - known.heard <= silentAfter
-                    && !known.report.draining && !known.left;
+            view.open = isUsable(known, now);
             view.trusted = true;
         }
     }
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -57,6 +57,7 @@
     ending_.clear();
     unsent_.clear();
     byAddress_.clear();
+    closedMachines_.clear();
     scheduler_.reset();
     committing_ = false;
     undecided_ = false;
--- a/packages/batch/src/ledger-codec.cc
+++ b/packages/batch/src/ledger-codec.cc
@@ -8,15 +8,17 @@
 
 namespace {
 
-constexpr std::uint8_t formatNumber = 1;
+constexpr std::uint8_t commandFormat = 1;
+constexpr std::uint8_t snapshotFormat = 2;
+constexpr std::uint8_t snapshotWithoutWaves = 1; // of earlier versions
 
 template <typename... Values>
-consensus::byte_buffer pack(const Values &...values)
+consensus::byte_buffer pack(std::uint8_t format, const Values &...values)
 {
     std::ostringstream stream(std::ios::binary);
     {
         cereal::PortableBinaryOutputArchive archive(stream);
-        archive(formatNumber, values...);
+        archive(format, values...);
     }
     const auto text = stream.view();
     const auto *begin = reinterpret_cast<const std::byte *>(text.data());
@@ -24,7 +26,7 @@
 }
 
 template <typename... Values>
-status unpack(consensus::byte_view bytes, Values &...values)
+status unpack(consensus::byte_view bytes, std::uint8_t expected, Values &...values)
 {
     std::istringstream stream(
             std::string(reinterpret_cast<const char *>(bytes.data()), bytes.size()),
@@ -33,12 +35,12 @@
     try {
         cereal::PortableBinaryInputArchive archive(stream);
         archive(format);
-        if (format == formatNumber)
+        if (format == expected)
             archive(values...);
     } catch (const std::exception &failure) {
         return error {result_code::CorruptFile, failure.what(), {}, {}};
     }
-    if (format != formatNumber)
+    if (format != expected)
         return error {result_code::CorruptFile, "unknown format of the batch ledger", {}, {}};
     return std::monostate {};
 }
@@ -47,30 +49,35 @@
 
 consensus::byte_buffer encode(const command &value)
 {
-    return pack(value);
+    return pack(commandFormat, value);
 }
 
 result<command> decodeCommand(consensus::byte_view bytes)
 {
     command value;
-    if (auto read = unpack(bytes, value); failed(read))
+    if (auto read = unpack(bytes, commandFormat, value); failed(read))
         return errorOf(read);
     return value;
 }
 
 consensus::byte_buffer ledger::snapshot() const
 {
-    return pack(configuration_, jobs_);
+    return pack(snapshotFormat, configuration_, jobs_, waves_);
 }
 
 status ledger::restore(consensus::byte_view snapshot)
 {
     configuration readConfiguration;
     std::map<std::string, job_record> readJobs;
-    if (auto read = unpack(snapshot, readConfiguration, readJobs); failed(read))
+    std::map<std::uint64_t, wave_record> readWaves;
+    auto read = unpack(snapshot, snapshotFormat, readConfiguration, readJobs, readWaves);
+    if (failed(read))
+        read = unpack(snapshot, snapshotWithoutWaves, readConfiguration, readJobs);
+    if (failed(read))
         return read;
     configuration_ = std::move(readConfiguration);
     jobs_ = std::move(readJobs);
+    waves_ = std::move(readWaves);
     rebuildIndexes();
     return std::monostate {};
 }
--- a/packages/batch/src/ledger.cc
+++ b/packages/batch/src/ledger.cc
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace persimmon::batch {
 
@@ -39,6 +40,19 @@
             + source.objectiveMs;
 }
 
+bool wave_record::done() const
+{
+    return std::ranges::all_of(
+            machines, [](const auto &item) { return item.second.phase >= upkeep_phase::Down; });
+}
+
+std::string_view toName(upkeep_phase phase)
+{
+    static constexpr std::array<std::string_view, 5> names {"waiting", "ordered", "down",
+                                                            "finished", "gone"};
+    return names.at(static_cast<std::size_t>(phase));
+}
+
 ledger::ledger() = default;
 ledger::~ledger() = default;
 
@@ -258,6 +272,35 @@
     });
 }
 
+void ledger::handle(const start_wave &input)
+{
+    if (waves_.contains(input.value.id))
+        return;
+    auto &made = waves_[input.value.id];
+    made.spec = input.value;
+    made.startedMs = input.wallMs;
+    for (const auto &machine : input.value.machines)
+        made.machines[machine] = {};
+}
+
+void ledger::handle(const note_upkeep &input)
+{
+    const auto found = waves_.find(input.wave);
+    if (found == waves_.end())
+        return;
+    const auto machine = found->second.machines.find(input.machine);
+    if (machine == found->second.machines.end())
+        return;
+    // An order that the platform didn't carry out is taken back.
+    const bool takenBack = machine->second.phase == upkeep_phase::Ordered
+            && input.phase == upkeep_phase::Waiting;
+    if (input.phase <= machine->second.phase && !takenBack)
+        return;
+    machine->second.phase = input.phase;
+    if (input.phase == upkeep_phase::Ordered)
+        machine->second.born = input.born;
+}
+
 void ledger::rebuildIndexes()
 {
     runs_.clear();
--- a/packages/batch/src/model.cc
+++ b/packages/batch/src/model.cc
@@ -22,6 +22,14 @@
     return *this;
 }
 
+double coreSeconds(const amount &used, double seconds)
+{
+    constexpr double coresPerAccelerator = 8;
+    return (static_cast<double>(used.cpu) / 1000
+            + coresPerAccelerator * static_cast<double>(used.accelerators))
+            * seconds;
+}
+
 std::int64_t timesFitting(const amount &available, const amount &need)
 {
     auto times = std::numeric_limits<std::int32_t>::max() + std::int64_t {0};
--- a/packages/batch/src/preemption.cc
+++ b/packages/batch/src/preemption.cc
@@ -1,3 +1,4 @@
+#include "disruption.h"
 #include "scheduler-pass.h"
 
 #include <algorithm>
@@ -8,22 +9,12 @@
 
 namespace {
 
-// An accelerator second is worth this many core seconds.
-constexpr double coresPerAccelerator = 8;
-
 // Added to the lost seconds of each run, so that few stops are preferred over many.
 constexpr double stopSeconds = 0.3;
 
 // Urgent work and work that lasts is stopped only where nothing else makes room.
 constexpr double lastResortSeconds = 1000;
 
-double coreSeconds(const amount &need, double seconds)
-{
-    return (static_cast<double>(need.cpu) / 1000
-            + coresPerAccelerator * static_cast<double>(need.accelerators))
-            * seconds;
-}
-
 } // namespace
 
 // Lists the runs that work of priority 0 may displace.
@@ -45,7 +36,8 @@
             if (spec.disruptionBudget > 0) {
                 const auto left = disruptions.try_emplace(stepOf(task), 0);
                 if (left.second)
-                    left.first->second = disruptionsLeft(job, task);
+                    left.first->second = detail::disruptionsLeft(
+                            job, task, [this](const task_id &other) { return isAtWork(other); });
                 if (--left.first->second < 0)
                     continue;
             }
@@ -85,21 +77,13 @@
                                : worked;
 }
 
-// Returns how many more tasks of a step may be stopped while its others are away.
-std::int64_t scheduler::pass::disruptionsLeft(const job_record &job, const task_id &task) const
+// True for a task that works at its full share and isn't being stopped.
+bool scheduler::pass::isAtWork(const task_id &task) const
 {
-    const auto &tasks = job.stepOf(task).tasks;
-    auto left = std::int64_t {job.spec.steps[task.step].disruptionBudget};
-    auto other = task;
-    for (other.index = 0; other.index < tasks.size(); ++other.index) {
-        const auto &state = tasks[other.index];
-        const auto progress = input_.progress->find(other);
-        const bool atWork = state.active && progress != input_.progress->end()
-                && progress->second.percent >= 100
-                && !input_.stopping->contains({other, state.run});
-        left -= atWork ? 0 : 1;
-    }
-    return left;
+    const auto &state = input_.state->findJob(task.job)->taskOf(task);
+    const auto progress = input_.progress->find(task);
+    return state.active && progress != input_.progress->end() && progress->second.percent >= 100
+            && !input_.stopping->contains({task, state.run});
 }
 
 // Urgent work gives way only to work within a reservation, and only what its tenant runs beyond
--- a/packages/batch/src/report_codec.cc
+++ b/packages/batch/src/report_codec.cc
@@ -24,9 +24,9 @@
 template <typename Archive>
 void serialize(Archive &archive, worker_report &value)
 {
-    archive(value.id, value.born, value.sequence, value.clockMs, value.address, value.pool,
-            value.zone, value.rack, value.labels, value.capacity, value.draining, value.remainingMs,
-            value.running, value.ended);
+    archive(value.id, value.born, value.sequence, value.clockMs, value.address, value.machine,
+            value.pool, value.zone, value.rack, value.labels, value.capacity, value.draining,
+            value.remainingMs, value.running, value.ended);
 }
 
 template <typename Archive>
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -73,7 +73,7 @@
     bool preempt(const unit &item);
     bool mayStop(const unit &item, const victim &candidate) const;
     double lostSeconds(const task_id &task, const step_spec &spec) const;
-    std::int64_t disruptionsLeft(const job_record &job, const task_id &task) const;
+    bool isAtWork(const task_id &task) const;
     std::vector<offer> offersOf(const unit &item, std::size_t worker) const;
     std::vector<offer> cheapest(const unit &item, const std::vector<std::size_t> &from) const;
 
--- a/packages/batch/src/serialize.h
+++ b/packages/batch/src/serialize.h
@@ -110,6 +110,36 @@
     archive(value.endedBeforeMs);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, wave &value)
+{
+    archive(value.id, value.machines, value.durationMs, value.atOnce);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, start_wave &value)
+{
+    archive(value.value, value.wallMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, note_upkeep &value)
+{
+    archive(value.wave, value.machine, value.phase, value.born);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, wave_machine &value)
+{
+    archive(value.phase, value.born);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, wave_record &value)
+{
+    archive(value.spec, value.startedMs, value.machines);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, task_state &value)
 {
--- a/packages/batch/src/service.cc
+++ b/packages/batch/src/service.cc
@@ -222,6 +222,34 @@
     });
 }
 
+void service::startWave(std::int64_t wallMs, wave value, std::function<void(status)> done)
+{
+    if (value.atOnce == 0)
+        return done(error {result_code::InvalidValue, "at least one at once", "atOnce", {}});
+    logEvent("wave.proposed",
+             {{"wave", value.id},
+              {"machines", value.machines.size()},
+              {"at_once", value.atOnce},
+              {"duration_ms", value.durationMs},
+              {"known", state_.waves().contains(value.id) ? 1 : 0}});
+    propose_(start_wave {std::move(value), wallMs},
+             [done = std::move(done)](const status &committed) {
+                 done(failed(committed) ? status {commitError(errorOf(committed))} : committed);
+             });
+}
+
+void service::findWave(std::uint64_t id, callback<bool> done)
+{
+    afterBarrier([this, id, done = std::move(done)](const status &current) {
+        if (failed(current))
+            return done(errorOf(current));
+        const auto found = state_.waves().find(id);
+        if (found == state_.waves().end())
+            return done(error {result_code::NotFound, "no such wave", "wave", {}});
+        done(found->second.done());
+    });
+}
+
 void service::afterBarrier(std::function<void(status)> done)
 {
     propose_(no_op {}, std::move(done));
