--- a/packages/base/src/event_log.cc
+++ b/packages/base/src/event_log.cc
@@ -25,6 +25,7 @@
     std::mutex mutex;
     std::string node;
     std::uint32_t limit = 0;
+    std::size_t dropped = 0; // lines that the queue could not take, as last reported
     std::shared_ptr<spdlog::details::thread_pool> pool;
     std::shared_ptr<spdlog::async_logger> logger;
     std::map<std::string, event_budget, std::less<>> budgets;
@@ -69,6 +70,17 @@
     return line;
 }
 
+void reportDropped(writer &target)
+{
+    const auto dropped = target.pool->overrun_counter();
+    if (dropped == target.dropped)
+        return;
+    auto line = prefix(target, "log.dropped");
+    append(line, "lines", std::to_string(dropped - target.dropped));
+    target.dropped = dropped;
+    target.logger->info(line);
+}
+
 // Returns whether a line of the event may be written now.
 bool takeBudget(writer &target, std::string_view event)
 {
@@ -79,6 +91,7 @@
         found = target.budgets.emplace(std::string(event), event_budget {}).first;
     auto &budget = found->second;
     if (budget.second != second) {
+        reportDropped(target);
         if (budget.suppressed > 0) {
             auto line = prefix(target, "log.suppressed");
             append(line, "of", event);
@@ -117,6 +130,8 @@
     target.limit = linesPerSecond;
     if (target.logger)
         return;
+    target.budgets.clear();
+    target.dropped = 0;
     target.pool = std::make_shared<spdlog::details::thread_pool>(queueLines, 1);
     target.logger = std::make_shared<spdlog::async_logger>(
             "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(), target.pool,
@@ -126,6 +141,13 @@
     target.logger->flush_on(spdlog::level::info);
 }
 
+void setEventLimit(std::uint32_t linesPerSecond)
+{
+    auto &target = instance();
+    const std::scoped_lock lock(target.mutex);
+    target.limit = linesPerSecond;
+}
+
 void stopEventLog()
 {
     auto &target = instance();
--- /dev/null
+++ b/packages/base/test/event_log-test.cc
@@ -0,0 +1,107 @@
+#include "base/event_log.h"
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+
+namespace {
+
+// Sends standard output to a file while it lives.
+class captured_output
+{
+public:
+    captured_output()
+        : file_("/tmp/persimmon-event-log-" + std::to_string(getpid()))
+        , saved_(dup(STDOUT_FILENO))
+    {
+        std::fflush(stdout);
+        if (std::freopen(file_.c_str(), "w", stdout) == nullptr)
+            FAIL("no file for the output");
+    }
+
+    ~captured_output()
+    {
+        std::fflush(stdout);
+        dup2(saved_, STDOUT_FILENO);
+        close(saved_);
+        std::remove(file_.c_str());
+    }
+
+    captured_output(const captured_output &) = delete;
+    captured_output &operator=(const captured_output &) = delete;
+
+    std::string text() const
+    {
+        std::fflush(stdout);
+        std::ostringstream read;
+        read << std::ifstream(file_).rdbuf();
+        return read.str();
+    }
+
+private:
+    std::string file_;
+    int saved_;
+};
+
+std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t found = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++found;
+    return found;
+}
+
+} // namespace
+
+TEST_GROUP(EventLog) {};
+
+// Guards against lines that can't be read back because of what a value holds.
+TEST(EventLog, quotesValues)
+{
+    const captured_output output;
+    startEventLog("node-1", 10);
+    logEvent("a.b", {{"plain", 7}, {"text", "two words"}, {"empty", ""}, {"quote", "a\"b\nc"}});
+    stopEventLog();
+    CHECK_EQUAL(1,
+                count(output.text(),
+                      "node=node-1 event=a.b plain=7 text=\"two words\" empty=\"\" "
+                      "quote=\"a\\\"b c\"\n"));
+}
+
+// Guards against a log that grows with the load, and against a limit that needs a restart.
+TEST(EventLog, limitsLinesOfEachEvent)
+{
+    const captured_output output;
+    startEventLog("node-1", 3);
+    for (int i = 0; i < 50; ++i)
+        logEvent("many", {{"i", i}});
+    logEvent("other", {});
+    const auto limited = 6U; // the second may change once meanwhile
+    setEventLimit(100);
+    for (int i = 0; i < 50; ++i)
+        logEvent("raised", {{"i", i}});
+    stopEventLog();
+    const auto text = output.text();
+    CHECK_TRUE(count(text, "event=many ") >= 3 && count(text, "event=many ") <= limited);
+    CHECK_EQUAL(1, count(text, "event=other"));
+    CHECK_EQUAL(50, count(text, "event=raised "));
+}
+
+// Guards against lines that are left out without a trace.
+TEST(EventLog, tellsWhatWasLeftOut)
+{
+    const captured_output output;
+    startEventLog("node-1", 1);
+    for (int i = 0; i < 5; ++i)
+        logEvent("many", {{"i", i}});
+    usleep(1'100'000);
+    logEvent("many", {{"i", 5}});
+    stopEventLog();
+    CHECK_EQUAL(1, count(output.text(), "event=log.suppressed of=many lines="));
+}
