--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -79,7 +79,7 @@
     std::uint64_t wave = 0;
     std::string machine;
     upkeep_phase phase = upkeep_phase::Waiting;
-    std::int64_t born = 0; // newest incarnation on the machine when it was ordered, 0: none
+    std::int64_t born = 0; // newest incarnation heard on the machine, 0: none
 };
 
 // Has no effect; once it is applied, all earlier proposals are decided.
@@ -153,7 +153,7 @@
 struct wave_machine
 {
     upkeep_phase phase = upkeep_phase::Waiting;
-    std::int64_t born = 0;
+    std::int64_t born = 0; // incarnation that its upkeep ends; a newer one is back from it
 };
 
 struct wave_record
@@ -210,7 +210,7 @@
     // Returns the number of jobs of a queue that no run was ordered for.
     std::size_t waitingJobs(std::string_view queueName) const;
 
-    // Returns all waves by id; ended ones stay known.
+    // Returns the newest waves by id, also ended ones.
     const std::map<std::uint64_t, wave_record> &waves() const { return waves_; }
 
     std::size_t jobCount() const { return jobs_.size(); }
--- a/packages/batch/include/batch/maintenance.h
+++ b/packages/batch/include/batch/maintenance.h
@@ -70,13 +70,11 @@
         bool committing = false;
     };
 
-    using machine_map = std::map<std::string, controller::machine_view>;
-
-    void tickWave(const wave_record &wave, const machine_map &machines, time_point now,
-                  std::int64_t wallMs);
+    void tickWave(const wave_record &wave, time_point now, std::int64_t wallMs);
     void tickMachine(const wave_record &wave, const std::string &machine,
                      const controller::machine_view &view, time_point now, std::int64_t wallMs);
-    void closeNext(const wave_record &wave, const machine_map &machines, time_point now);
+    void closeNext(const wave_record &wave, time_point now);
+    controller::machine_view viewOf(const std::string &machine) const;
     bool isDown(const wave_record &wave, const std::string &machine) const;
     milliseconds patience(const wave_record &wave) const;
     void empty(const wave_record &wave, const std::string &machine,
@@ -93,6 +91,7 @@
     std::uint64_t term_ = 0; // 0: not leading
     time_point since_ {};
     std::map<key, progress> progress_; // of machines that are closed, ordered or down
+    std::map<std::string, controller::machine_view> machines_; // as of the last tick
     std::map<key, time_point> notBefore_; // of machines that were not ready
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/packages/batch/src/ledger.cc
+++ b/packages/batch/src/ledger.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Waves that stay known, but for older ones that aren't done.
+constexpr std::size_t maxWaves = 64;
+
 // Events kept of one job.
 constexpr std::size_t maxEvents = 24;
 
@@ -276,6 +279,8 @@
 {
     if (waves_.contains(input.value.id))
         return;
+    while (waves_.size() >= maxWaves && waves_.begin()->second.done())
+        waves_.erase(waves_.begin());
     auto &made = waves_[input.value.id];
     made.spec = input.value;
     made.startedMs = input.wallMs;
@@ -297,8 +302,8 @@
     if (input.phase <= machine->second.phase && !takenBack)
         return;
     machine->second.phase = input.phase;
-    if (input.phase == upkeep_phase::Ordered)
-        machine->second.born = input.born;
+    if (input.phase == upkeep_phase::Ordered || input.phase == upkeep_phase::Down)
+        machine->second.born = std::max(machine->second.born, input.born);
 }
 
 void ledger::rebuildIndexes()
--- a/packages/batch/src/maintenance.cc
+++ b/packages/batch/src/maintenance.cc
@@ -69,25 +69,26 @@
     });
     if (!open && progress_.empty())
         return;
-    const auto machines = workers_.viewMachines(now);
+    machines_ = workers_.viewMachines(now);
     for (const auto &[id, wave] : state_.waves())
-        tickWave(wave, machines, now, wallMs);
+        tickWave(wave, now, wallMs);
     std::set<std::string> closed;
     for (const auto &[target, item] : progress_)
         closed.insert(target.second);
     workers_.closeMachines(std::move(closed));
 }
 
-void maintenance::tickWave(const wave_record &wave, const machine_map &machines, time_point now,
-                           std::int64_t wallMs)
+void maintenance::tickWave(const wave_record &wave, time_point now, std::int64_t wallMs)
 {
-    for (const auto &[machine, state] : wave.machines) {
-        const auto view = machines.find(machine);
-        tickMachine(wave, machine,
-                    view == machines.end() ? controller::machine_view {} : view->second, now,
-                    wallMs);
-    }
-    closeNext(wave, machines, now);
+    for (const auto &[machine, state] : wave.machines)
+        tickMachine(wave, machine, viewOf(machine), now, wallMs);
+    closeNext(wave, now);
+}
+
+controller::machine_view maintenance::viewOf(const std::string &machine) const
+{
+    const auto found = machines_.find(machine);
+    return found == machines_.end() ? controller::machine_view {} : found->second;
 }
 
 void maintenance::tickMachine(const wave_record &wave, const std::string &machine,
@@ -152,7 +153,7 @@
 
 // Closes the machines on which least work is lost, as many as may be down besides the others;
 // silent ones last.
-void maintenance::closeNext(const wave_record &wave, const machine_map &machines, time_point now)
+void maintenance::closeNext(const wave_record &wave, time_point now)
 {
     std::size_t used = 0;
     std::vector<std::tuple<bool, double, std::string>> waiting; // silent, lost work, machine
@@ -166,9 +167,8 @@
         const auto pause = notBefore_.find({wave.spec.id, machine});
         if (pause != notBefore_.end() && now < pause->second)
             continue;
-        const auto view = machines.find(machine);
-        const bool heard = view != machines.end() && view->second.heard;
-        waiting.emplace_back(!heard, heard ? view->second.lostSeconds : 0, machine);
+        const auto view = viewOf(machine);
+        waiting.emplace_back(!view.heard, view.heard ? view.lostSeconds : 0, machine);
     }
     std::ranges::sort(waiting);
     for (const auto &[silent, cost, machine] : waiting) {
@@ -214,7 +214,7 @@
         return;
     switch (valueOf(outcome)) {
     case upkeep_outcome::Begun:
-        return commit(target, upkeep_phase::Down, 0);
+        return commit(target, upkeep_phase::Down, viewOf(target.second).born);
     case upkeep_outcome::NoMachine:
         return commit(target, upkeep_phase::Gone, 0);
     case upkeep_outcome::Busy:
