Trust 'busy' only when no earlier order may have been carried out

Cause: an order may be carried out though its answer is lost; the machine is then in its upkeep and the platform may answer 'busy' to the repetition, which gave the place to another machine. Ruled out: holding the place after every 'busy', because a machine that is down would hold up the wave.

--- a/packages/batch/include/batch/maintenance.h
+++ b/packages/batch/include/batch/maintenance.h
@@ -66,6 +66,7 @@
         time_point closedAt {}; // closed to new tasks
         time_point downAt {};
         time_point nextOrder {};
+        time_point unansweredAt {}; // when the newest order without an answer was given up
         bool ordering = false; // waits for the platform's answer
         bool committing = false;
     };
@@ -92,6 +93,7 @@
     time_point since_ {};
     std::map<key, progress> progress_; // of machines that are closed, ordered or down
     std::map<std::string, controller::machine_view> machines_; // as of the last tick
+    time_point machinesAt_ {}; // time of the last tick
     std::map<key, time_point> notBefore_; // of machines that were not ready
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/packages/batch/src/maintenance.cc
+++ b/packages/batch/src/maintenance.cc
@@ -51,6 +51,13 @@
     progress_.clear();
     notBefore_.clear();
     alive_ = std::make_shared<int>(0);
+    // Orders of the leader before may still reach the platform for a while.
+    for (const auto &[id, wave] : state_.waves()) {
+        for (const auto &[machine, state] : wave.machines) {
+            if (state.phase == upkeep_phase::Ordered)
+                progress_[{id, machine}].unansweredAt = now + options_.orderLease;
+        }
+    }
 }
 
 void maintenance::endTerm()
@@ -73,6 +80,7 @@
     if (!open && progress_.empty())
         return;
     machines_ = workers_.viewMachines(now);
+    machinesAt_ = now;
     for (const auto &[id, wave] : state_.waves())
         tickWave(wave, now, wallMs);
     std::set<std::string> closed;
@@ -215,15 +223,19 @@
               {"token", term_},
               {"outcome",
                failed(outcome) ? errorOf(outcome).detail : std::string(toName(valueOf(outcome)))}});
-    if (failed(outcome))
+    if (failed(outcome)) {
+        item.unansweredAt = machinesAt_;
         return;
+    }
     switch (valueOf(outcome)) {
     case upkeep_outcome::Begun:
         return commit(target, upkeep_phase::Down, viewOf(target.second).born);
     case upkeep_outcome::NoMachine:
         return commit(target, upkeep_phase::Gone, 0);
     case upkeep_outcome::Busy:
-        // It isn't down for its upkeep, so another one may be.
+        // It may be down by an order of which no answer came, of this leader or an earlier one.
+        if (machinesAt_ < item.unansweredAt + options_.upkeep + upkeepMargin)
+            return;
         notBefore_[target] = item.nextOrder + busyPause;
         return commit(target, upkeep_phase::Waiting, 0);
     case upkeep_outcome::Fenced:
--- a/packages/batch/test/maintenance-fuzz-test.cc
+++ b/packages/batch/test/maintenance-fuzz-test.cc
@@ -135,7 +135,8 @@
         else if (machine.gone)
             outcome = upkeep_outcome::NoMachine;
         else if (machine.begun)
-            outcome = upkeep_outcome::Begun;
+            outcome = machine.upkeepUntilMs > now_ && chance(500) ? upkeep_outcome::Busy
+                                                                  : upkeep_outcome::Begun;
         else if (machine.downUntilMs > now_)
             outcome = upkeep_outcome::Busy;
         else
