--- a/packages/apps/src/data_folder.cc
+++ b/packages/apps/src/data_folder.cc
@@ -24,17 +24,28 @@
     return {result_code::StorageFailed, what + ": " + std::system_category().message(code), {}, {}};
 }
 
+// Writes the whole text. Returns 0 or the error number.
+int writeAll(int file, std::string_view text)
+{
+    while (!text.empty()) {
+        const auto count = ::write(file, text.data(), text.size());
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count <= 0)
+            return count < 0 ? errno : ENOSPC;
+        text.remove_prefix(static_cast<std::size_t>(count));
+    }
+    return 0;
+}
+
 // Opens a path, writes the text unless it is empty, syncs and closes the file.
 status writeAndSync(const std::string &path, int flags, const std::string &text)
 {
     const int file = ::open(path.c_str(), flags | O_CLOEXEC, 0600);
     if (file < 0)
         return storageError("can't open " + path, errno);
-    const auto written = text.empty() ? 0 : ::write(file, text.data(), text.size());
-    int failure = 0;
-    if (written != static_cast<ssize_t>(text.size()))
-        failure = written < 0 ? errno : ENOSPC;
-    else if (::fsync(file) != 0)
+    int failure = writeAll(file, text);
+    if (failure == 0 && ::fsync(file) != 0)
         failure = errno;
     ::close(file);
     if (failure != 0)
--- a/packages/base/src/event_log.cc
+++ b/packages/base/src/event_log.cc
@@ -15,8 +15,7 @@
 
 struct event_budget
 {
-    std::int64_t second = 0;
-    std::uint32_t written = 0;
+    std::uint32_t written = 0; // in the current second
     std::uint64_t suppressed = 0;
 };
 
@@ -28,6 +27,7 @@
     std::size_t reportedDropped = 0; // overrun counter of the queue at the last log.dropped line
     std::shared_ptr<spdlog::details::thread_pool> pool;
     std::shared_ptr<spdlog::async_logger> logger;
+    std::int64_t second = 0; // the current second, in which the budgets apply
     std::map<std::string, event_budget, std::less<>> budgets;
 };
 
@@ -81,26 +81,35 @@
     target.logger->info(line);
 }
 
+// Logs how many lines of each event were suppressed, and renews the budgets.
+void reportSuppressed(event_writer &target)
+{
+    for (auto &[event, budget] : target.budgets) {
+        if (budget.suppressed > 0) {
+            auto line = linePrefix(target, "log.suppressed");
+            appendField(line, "of", event);
+            appendField(line, "lines", std::to_string(budget.suppressed));
+            target.logger->info(line);
+        }
+        budget = {};
+    }
+}
+
 // Returns whether the event's limit allows another line, and counts it. In a new second, first
-// logs the lines that were dropped or suppressed before.
+// logs the lines that were dropped or suppressed before, of all events.
 bool consumeBudget(event_writer &target, std::string_view event)
 {
     const auto now = std::chrono::steady_clock::now().time_since_epoch();
     const auto second = std::chrono::duration_cast<std::chrono::seconds>(now).count();
+    if (target.second != second) {
+        target.second = second;
+        reportDropped(target);
+        reportSuppressed(target);
+    }
     auto found = target.budgets.find(event);
     if (found == target.budgets.end())
         found = target.budgets.emplace(std::string(event), event_budget {}).first;
     auto &budget = found->second;
-    if (budget.second != second) {
-        reportDropped(target);
-        if (budget.suppressed > 0) {
-            auto line = linePrefix(target, "log.suppressed");
-            appendField(line, "of", event);
-            appendField(line, "lines", std::to_string(budget.suppressed));
-            target.logger->info(line);
-        }
-        budget = {second, 0, 0};
-    }
     if (budget.written < target.limit) {
         ++budget.written;
         return true;
@@ -153,6 +162,8 @@
 {
     auto &target = instance();
     const std::scoped_lock lock(target.mutex);
+    if (target.logger)
+        reportSuppressed(target);
     target.logger = nullptr;
     target.pool = nullptr; // joins the writer thread after it has written the queued lines
 }
--- a/packages/base/test/event_log-test.cc
+++ b/packages/base/test/event_log-test.cc
@@ -107,3 +107,20 @@
     stopEventLog();
     CHECK_EQUAL(1, count(output.text(), "event=log.suppressed of=many lines="));
 }
+
+// Guards against suppressed lines that are never counted because their event doesn't recur.
+TEST(EventLog, reportsSuppressedLinesOfEventsThatDoNotRecur)
+{
+    const captured_output output;
+    startEventLog("node-1", 1);
+    for (int i = 0; i < 5; ++i)
+        logEvent("many", {{"i", i}});
+    usleep(1'100'000);
+    logEvent("other", {});
+    for (int i = 0; i < 5; ++i)
+        logEvent("last", {{"i", i}});
+    stopEventLog();
+    const auto text = output.text();
+    CHECK_EQUAL(1, count(text, "event=log.suppressed of=many lines="));
+    CHECK_EQUAL(1, count(text, "event=log.suppressed of=last lines="));
+}
