--- a/packages/apps/include/apps/batch_metrics.h
+++ b/packages/apps/include/apps/batch_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "batch/latency_stage.h"
 #include "batch/ledger.h"
 
 #include <memory>
@@ -35,6 +36,9 @@
     // Records a completed request: its kind, HTTP status and duration in seconds.
     void observeRequest(std::string_view kind, int status, double seconds);
 
+    // Records the duration of a stage between the acceptance of a job and its first run.
+    void observeStage(batch::latency_stage stage, std::chrono::microseconds duration);
+
     std::string serialize(const scheduler_gauges &gauges);
 
 private:
--- a/packages/apps/src/batch_metrics.cc
+++ b/packages/apps/src/batch_metrics.cc
@@ -20,6 +20,9 @@
 const prometheus::Histogram::BucketBoundaries requestBuckets {0.005, 0.01, 0.025, 0.05, 0.1,
                                                               0.25,  0.5,  1,     2.5,  5};
 
+const prometheus::Histogram::BucketBoundaries stageBuckets {
+        0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 1.5, 2.5, 5, 10, 30};
+
 double secondsBetween(std::int64_t fromMs, std::int64_t toMs)
 {
     return static_cast<double>(toMs - fromMs) / 1000;
@@ -66,6 +69,12 @@
         callSeconds_.Add({{"kind", std::string(kind)}}, requestBuckets).Observe(seconds);
     }
 
+    void observeStage(batch::latency_stage stage, std::chrono::microseconds duration)
+    {
+        stageSeconds_.Add({{"stage", std::string(batch::toName(stage))}}, stageBuckets)
+                .Observe(std::chrono::duration<double>(duration).count());
+    }
+
     std::string serialize(const scheduler_gauges &gauges)
     {
         const auto setGauge = [this](const char *what, double value) {
@@ -108,6 +117,10 @@
     prometheus::Family<prometheus::Histogram> &callSeconds_
             = familyOf(registry_, prometheus::BuildHistogram(), "persimmon_call_seconds",
                        "Time from the arrival of a call to its answer");
+    prometheus::Family<prometheus::Histogram> &stageSeconds_ = familyOf(
+            registry_, prometheus::BuildHistogram(), "persimmon_stage_seconds",
+            "Stages from the acceptance of a job to the report of its first run, answers "
+            "to heartbeats and scheduling passes");
     prometheus::Family<prometheus::Gauge> &schedulerState_
             = familyOf(registry_, prometheus::BuildGauge(), "persimmon_scheduler_state",
                        "Leadership (1: leads), term, committed entries, version of the "
@@ -131,6 +144,11 @@
     implementation_->observeRequest(kind, status, seconds);
 }
 
+void batch_metrics::observeStage(batch::latency_stage stage, std::chrono::microseconds duration)
+{
+    implementation_->observeStage(stage, duration);
+}
+
 std::string batch_metrics::serialize(const scheduler_gauges &gauges)
 {
     return implementation_->serialize(gauges);
--- a/packages/apps/src/ctl_arguments.cc
+++ b/packages/apps/src/ctl_arguments.cc
@@ -21,12 +21,13 @@
     std::string_view usage;
 };
 
-constexpr std::array<command_form, 8> commandForms {{
+constexpr std::array<command_form, 9> commandForms {{
         {"apply", 1, "apply FILE"},
         {"get", 0, "get"},
         {"history", 0, "history"},
         {"status", 0, "status"},
         {"explain", 1, "explain ID"},
+        {"latency", 0, "latency"},
         {"drain", 1, "drain ENTRY or drain voter-NUMBER"},
         {"watch", 0, "watch"},
         {"voters", 2, "voters add|remove NUMBER"},
@@ -60,8 +61,9 @@
 {
     const auto *form = std::ranges::find(commandForms, values.command, &command_form::name);
     if (form == commandForms.end())
-        return usageError("one of apply, get, history, status, explain, drain, watch, voters",
-                          "command");
+        return usageError(
+                "one of apply, get, history, status, explain, latency, drain, watch, voters",
+                "command");
     if (values.operands.size() != form->operandCount)
         return usageError("usage: persimmonctl " + std::string(form->usage), values.command);
     const bool changesVoters = values.command == "voters";
@@ -84,7 +86,8 @@
 }
 
 constexpr std::string_view programText
-        = "Operates the control group: apply FILE, get, history, status, explain ID, drain ENTRY, "
+        = "Operates the control group: apply FILE, get, history, status, explain ID, latency, "
+          "drain ENTRY, "
           "drain voter-NUMBER, watch, voters add NUMBER, voters remove NUMBER";
 
 // Command-line options; each registers itself with the TCLAP command line.
--- a/packages/apps/src/ctl_commands.cc
+++ b/packages/apps/src/ctl_commands.cc
@@ -1,6 +1,7 @@
 #include "apps/ctl_commands.h"
 
 #include "apps/ctl_views.h"
+#include "apps/latency_view.h"
 #include "apps/settings_check.h"
 #include "base/tables.h"
 
@@ -74,6 +75,23 @@
         return show("/v1/status", statusText);
     }
 
+    // Each node is asked: the leader places and orders, every node answers heartbeats.
+    int latency()
+    {
+        bool answered = false;
+        for (const auto &address : arguments_.control) {
+            const auto answer = client_.callVoter(address, {"GET", "/metrics"},
+                                                  std::min(voterTimeout, remainingTime()));
+            if (failed(answer)) {
+                errors_ << "persimmonctl: " << address << ": " << errorOf(answer).detail << "\n";
+                continue;
+            }
+            answered = true;
+            output_ << latencyText(address, readLatencies(valueOf(answer).body));
+        }
+        return answered ? 0 : describe(result_code::RpcFailed).exitCode;
+    }
+
     int drain()
     {
         const operator_call call {"POST", "/v1/drain/" + arguments_.operands[0]};
@@ -293,12 +311,13 @@
     int (command_runner::*run)();
 };
 
-constexpr std::array<command, 8> commands {{
+constexpr std::array<command, 9> commands {{
         {"apply", &command_runner::apply},
         {"get", &command_runner::get},
         {"history", &command_runner::history},
         {"status", &command_runner::status},
         {"explain", &command_runner::explain},
+        {"latency", &command_runner::latency},
         {"drain", &command_runner::drain},
         {"watch", &command_runner::watch},
         {"voters", &command_runner::voters},
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "base/clock.h"
+#include "batch/hold_policy.h"
+#include "batch/latency_stage.h"
 #include "batch/ledger.h"
 #include "batch/pacer.h"
 #include "batch/scheduler.h"
@@ -18,8 +20,10 @@
     milliseconds lease {5000}; // lease of the runs on a worker
     milliseconds idleHeartbeatPeriod {250}; // with few workers and no pending work
     milliseconds busyHeartbeatPeriod {100}; // while orders or waiting tasks are expected
-    // Both periods grow with the number of workers, up to maxHeartbeatPeriod.
-    milliseconds heartbeatPeriodPerWorker {1};
+    // Both periods grow with the number of workers, up to maxHeartbeatPeriod, so that the leader
+    // takes at most 4,000 heartbeats a second.
+    std::chrono::microseconds heartbeatPeriodPerWorker {250};
+    hold_limits hold; // of answers that need no orders
     milliseconds maxHeartbeatPeriod {1000};
     milliseconds checkpointPeriod {1000}; // work between two checkpoints
     // A gang is stopped if one of its start orders stays unsent for unsentLimit plus one heartbeat
@@ -27,7 +31,9 @@
     // maxUnsentLimit.
     milliseconds unsentLimit {1100};
     milliseconds maxUnsentLimit {2200};
-    milliseconds stallLimit {2500}; // a run without progress for this time is moved
+    // A run without progress for this time, or for the time of five percent of it if that is
+    // longer, is moved.
+    milliseconds stallLimit {2500};
     milliseconds quarantine {6000}; // of a worker on which two jobs in a row have failed
     milliseconds endedJobRetention {300000}; // retention of jobs after their end
     milliseconds goneWorkerRetention {60000}; // retention of workers after their last heartbeat
@@ -48,6 +54,7 @@
 {
 public:
     using orders_callback = std::function<void(result<worker_orders>)>;
+    using orders_ready_function = std::function<void(const std::string &worker, worker_orders)>;
 
     controller(const ledger &state, controller_options options, propose_function propose);
 
@@ -64,10 +71,19 @@
 
     bool isLeading() const { return term_ != 0; }
 
+    // Sets the function that is called with orders for a worker whose answer is held.
+    void onOrdersReady(orders_ready_function ready) { ordersReady_ = std::move(ready); }
+
+    // Sets the function that receives the durations of the stages that this class observes.
+    void onLatency(latency_observer observer) { observeLatency_ = std::move(observer); }
+
     // Handles a heartbeat. The callback runs after the reported ends are committed. Fails with
-    // NotLeader or with the error of the commit.
+    // NotLeader or with the error of the commit. Orders with a `holdMs` may be held for that time;
+    // orders that become ready meanwhile replace them. A heartbeat that is repeated, because its
+    // answer was lost, gets an answer of its own: the lease is counted from the newest copy, and
+    // neither a repeated start nor a repeated end has an effect.
     void heartbeat(time_point now, std::int64_t wallMs, const worker_report &report,
-                   const orders_callback &done);
+                   const orders_callback &done, answer_mode mode = answer_mode::Immediate);
 
     // Records that a worker has announced its departure.
     void handleDeparture(time_point now, const std::string &worker);
@@ -79,6 +95,9 @@
     // Requests a scheduling pass in the next tick instead of after the regular interval.
     void requestPass() { passRequested_ = true; }
 
+    // Sends stop orders for the active runs of a job that has ended.
+    void stopJob(const std::string &id);
+
     // State of the newest worker on a machine.
     struct machine_status
     {
@@ -106,12 +125,19 @@
     struct tracked_run
     {
         std::uint32_t run = 0;
-        time_point started {};
+        time_point started {}; // first report of the run to this leader
+        std::uint32_t firstPercent = 0; // in that report
         time_point lastProgress {}; // when the percentage last changed
         std::uint32_t percent = 0;
         std::string checkpoint;
     };
 
+    struct held_answer
+    {
+        time_point until {};
+        std::optional<std::uint64_t> ackedUpTo;
+    };
+
     struct worker_state
     {
         worker_report report;
@@ -129,6 +155,7 @@
         std::map<task_id, std::pair<std::uint32_t, time_point>> missing;
         pacer pace;
         bool paceReduced = false; // a pace below 100 % was ordered
+        std::optional<held_answer> held; // of the newest heartbeat
     };
 
     using run_key = std::pair<task_id, std::uint32_t>;
@@ -137,24 +164,36 @@
     bool isHeartbeatOverdue(const worker_state &worker, time_point now) const;
     bool isSchedulable(const worker_state &worker, time_point now) const;
     bool isStale(const worker_state &worker, const worker_report &report) const;
+    std::optional<worker_orders> refuse(const worker_report &report, time_point now) const;
+    worker_state &recordHeartbeat(time_point now, std::int64_t wallMs, const worker_report &report);
+    void resetTermState();
     bool isLate(const worker_state &worker, const worker_report &report, time_point now) const;
     void updateClockOffset(worker_state &worker, time_point now, std::int64_t wallMs,
                            bool first) const;
     void updateAddress(const worker_report &report, time_point now);
     std::vector<run_end> collectEnds(worker_state &worker, time_point now);
-    void updateRunning(worker_state &worker, time_point now);
+    void updateRunning(worker_state &worker, time_point now, std::chrono::microseconds silence);
     void updateMissing(worker_state &worker, time_point now, std::vector<run_end> &ends) const;
     void recordEnd(worker_state &worker, const ended_task &row, time_point now);
     milliseconds heartbeatPeriod(bool busy) const;
     worker_orders ordersFor(worker_state &worker);
+    bool shouldEnd(const worker_state &worker, const running_task &row) const;
+    void holdAnswer(worker_state &worker, worker_orders &orders);
+    milliseconds holdLimit(const worker_state &worker) const;
+    bool requestStop(const task_id &task, std::uint32_t run, const std::string &worker);
+    void markMembers(const task_id &task);
+    void sendReadyOrders();
     void addStarts(const worker_state &worker, worker_orders &orders);
     void addPaces(worker_state &worker, worker_orders &orders) const;
     void updatePace(worker_state &worker, time_point now) const;
+    void recordOrderSent(const run_key &run);
+    void recordReported(const run_key &run);
     bool isIncompleteGang(const job_record &job, const task_id &task) const;
     bool shouldStop(const worker_state &worker, const task_id &task, std::uint32_t run) const;
     void commitEnds(std::vector<run_end> ends, std::int64_t wallMs,
                     std::function<void(status)> done);
     void expireLeases(time_point now, std::int64_t wallMs);
+    std::chrono::microseconds stallLimitOf(const tracked_run &run, const step_spec &spec) const;
     void findStalled(time_point now);
     void stopUnsentGangs(time_point now);
     void stopDraining(const worker_state &worker);
@@ -177,9 +216,14 @@
     std::map<std::string, worker_state> workers_;
     std::map<std::string, std::string> byAddress_; // newest worker at each address
     std::set<std::string> cordonedMachines_;
+    orders_ready_function ordersReady_ = [](const std::string &, const worker_orders &) {};
+    time_point now_ {}; // time of the newest heartbeat or tick
+    std::set<std::string> ordersDue_; // workers for which orders may have become ready
     std::set<run_key> stopping_; // runs being stopped for preemption or relocation
     std::set<task_id> committingEnds_; // tasks of lost workers whose ends are being committed
     std::map<run_key, time_point> unsentOrders_; // placed by this leader, start order not sent yet
+    std::map<run_key, time_point> sentOrders_; // start order sent, run not reported yet
+    latency_observer observeLatency_ = [](latency_stage, std::chrono::microseconds) {};
     std::map<task_id, wait_cause> loggedWaits_;
     advice_request_function requestAdvice_;
     advice_cache advice_;
--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -201,6 +201,10 @@
     const configuration &currentConfiguration() const { return configuration_; }
     const job_record *findJob(const std::string &id) const;
 
+    // Returns whether a task with this id is part of a known job. Ids in reports of workers may be
+    // of any other task.
+    bool hasTask(const task_id &id) const;
+
     // Calls `visit` for each job that has not ended or still has active runs.
     void forEachOpenJob(const std::function<void(const job_record &)> &visit) const;
 
--- a/packages/batch/include/batch/report_router.h
+++ b/packages/batch/include/batch/report_router.h
@@ -3,8 +3,12 @@
 #include "base/clock.h"
 #include "base/timer_service.h"
 #include "batch/controller.h"
+#include "batch/held_answers.h"
+#include "batch/order_feed.h"
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -20,7 +24,9 @@
 
 // Routes reports of workers to the leader and returns its orders. Every node accepts reports; nodes
 // other than the leader forward them in batches, so that the leader of a large fleet doesn't need a
-// connection to each worker. Not thread-safe: all calls must come from one thread.
+// connection to each worker. Answers to workers that need no orders are held by the node that took
+// the report, so that the next orders need not wait for the next report. Not thread-safe: all calls
+// must come from one thread.
 class report_router
 {
 public:
@@ -50,15 +56,42 @@
     // Forwards a report to the leader. Fails with the error of the leader or of the transport.
     void forward(worker_report report, completion done);
 
+    // Sets the function that receives the time from a report to its answer, unless it was held.
+    void onAnswered(std::function<void(std::chrono::microseconds)> observer)
+    {
+        observeAnswer_ = std::move(observer);
+    }
+
+    // Sends all held answers. To be called when this node begins or ends its leadership.
+    void handleLeadershipChange();
+
+    // Sends all held answers and holds none from then on.
+    void stopHolding();
+
+    std::size_t heldCount() const { return held_.size(); }
+
 private:
     struct pending_report
     {
         worker_report report;
         completion done;
+        time_point received {};
+    };
+
+    // Where the answer to the newest report of a worker is held.
+    struct holder
+    {
+        heartbeat_key heartbeat;
+        std::string node;
     };
 
     std::string reportAddressFor(const std::string &worker) const;
     void flush();
+    void deliver(const std::string &answer, std::vector<pending_report> &reports);
+    void poll();
+    void finishPoll(const result<std::string> &answer);
+    void releaseFor(const std::string &worker, worker_orders orders);
+    answer_mode modeFor(const std::string &forwarder) const;
 
     router_options options_;
     controller &workers_;
@@ -67,6 +100,18 @@
     peers_function peers_;
     std::vector<pending_report> pending_;
     timer_service::subscription flushTimer_ {};
+    std::function<void(std::chrono::microseconds)> observeAnswer_ = [](auto) {};
+    held_answers held_;
+    bool mayHold_ = true;
+
+    // Used while this node leads.
+    order_feed feed_;
+    std::map<std::string, holder> holders_; // by worker, of answers held by other nodes
+
+    // Used while this node forwards reports.
+    bool pollInFlight_ = false;
+    std::string polledLeader_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
 } // namespace persimmon::batch
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -69,6 +69,9 @@
     std::uint32_t percent = 100;
 };
 
+// Whether the node that answers a heartbeat can hold the answer back until there are orders.
+enum class answer_mode : std::uint8_t { Immediate, MayBeHeld };
+
 // Answer to a heartbeat. If it grants no lease, the worker starts nothing and extends no lease.
 struct worker_orders
 {
@@ -79,6 +82,7 @@
     std::vector<stop_order> stops;
     std::vector<pace_order> paces;
     std::int64_t retryMs = 0; // until the next heartbeat
+    std::int64_t holdMs = 0; // the answer may be held for this time, until there are orders
 };
 
 // Orders for a worker, and the address to which it should send its next reports.
--- a/packages/batch/src/controller-machines.cc
+++ b/packages/batch/src/controller-machines.cc
@@ -60,7 +60,7 @@
                    return isAvailable(other);
                }) <= 0)
             continue;
-        stopping_.insert({task, run.run});
+        requestStop(task, run.run, worker);
         logEvent("task.moved",
                  {{"job", task.job},
                   {"task", shortName(task)},
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -23,6 +23,9 @@
 // A worker gets no new tasks if its heartbeat is overdue by more than this time beyond its period.
 constexpr milliseconds overdueLimit {1200};
 
+// A run is stalled if it takes the time of this many percent for the next one.
+constexpr int stallPercents = 5;
+
 constexpr std::int64_t cleanupPeriodMs = 10000;
 
 } // namespace
@@ -31,6 +34,8 @@
 {
     if (term_ == 0)
         return;
+    now_ = std::max(now_, now);
+    sendReadyOrders();
     if (now < nextPass_ && !passRequested_)
         return;
     nextPass_ = now + passInterval;
@@ -39,6 +44,7 @@
     findStalled(now);
     stopUnsentGangs(now);
     schedule(now, wallMs);
+    sendReadyOrders();
     removeExpired(now, wallMs);
 }
 
@@ -88,6 +94,18 @@
                });
 }
 
+// Workers report whole percentages, so a long run keeps the same one for long. One percent is
+// expected to take its share of the declared duration, or what it has taken so far.
+std::chrono::microseconds controller::stallLimitOf(const tracked_run &run,
+                                                   const step_spec &spec) const
+{
+    std::chrono::microseconds onePercent = milliseconds {spec.estimateMs / 100};
+    if (run.percent > run.firstPercent)
+        onePercent = std::max(onePercent,
+                              (run.lastProgress - run.started) / (run.percent - run.firstPercent));
+    return std::max<std::chrono::microseconds>(options_.stallLimit, onePercent * stallPercents);
+}
+
 void controller::findStalled(time_point now)
 {
     for (auto &[id, worker] : workers_) {
@@ -100,11 +118,13 @@
             if (job == nullptr || job->ended() || job->taskOf(task).done)
                 continue;
             const auto &spec = job->spec.steps[task.step];
+            if (now - tracked.lastProgress < stallLimitOf(tracked, spec))
+                continue;
             // Members of a gang stay at 0 % until all of them have started, and long-running tasks
             // don't advance their percentage. Neither of them has stalled.
             if (spec.longRunning || (spec.gang && tracked.percent == 0 && spec.count > 1))
                 continue;
-            if (!stopping_.insert({task, tracked.run}).second)
+            if (!requestStop(task, tracked.run, id))
                 continue;
             worker.quarantinedUntil = now + options_.quarantine;
             logEvent("task.moved",
@@ -138,11 +158,11 @@
             continue;
         }
         if (job->spec.steps[task.step].gang && now - item->second > limit) {
-            const auto count = static_cast<std::uint32_t>(job->stepOf(task).tasks.size());
+            const auto &members = job->stepOf(task).tasks;
             bool stopped = false;
-            for (std::uint32_t i = 0; i < count; ++i)
-                stopped |= stopping_.insert({{task.job, task.occurrence, task.step, i}, run})
-                                   .second;
+            for (std::uint32_t i = 0; i < members.size(); ++i)
+                stopped |= requestStop({task.job, task.occurrence, task.step, i}, run,
+                                       members[i].worker);
             if (stopped)
                 logEvent("gang.stopped",
                          {{"job", task.job},
@@ -179,8 +199,9 @@
         view.rack = worker.report.rack;
         view.labels = worker.report.labels;
         view.capacity = worker.report.capacity;
-        view.untilHeartbeat
-                = std::max(milliseconds {0},
+        view.untilHeartbeat = worker.held && worker.held->until > now
+                ? milliseconds {0}
+                : std::max(milliseconds {0},
                            std::chrono::duration_cast<milliseconds>(worker.nextHeartbeat - now));
         const bool isQuarantined = worker.quarantinedUntil > now;
         quarantinedCount += isQuarantined ? 1 : 0;
@@ -237,7 +258,7 @@
     logWaits(output.waits, wallMs);
     requestMissingAdvice(now, std::move(output.advice));
     for (const auto &run : output.preemptions) {
-        stopping_.insert({run.task, run.run});
+        requestStop(run.task, run.run, run.worker);
         logEvent("task.preempted",
                  {{"job", run.task.job},
                   {"step", run.task.step},
@@ -245,12 +266,13 @@
                   {"run", run.run},
                   {"worker", run.worker}});
     }
-    // Drops stop orders for runs that have ended.
-    std::erase_if(stopping_, [this](const run_key &key) {
+    const auto hasEnded = [this](const run_key &key) {
         const auto *job = state_.findJob(key.first.job);
         return job == nullptr || !job->taskOf(key.first).active
                 || job->taskOf(key.first).run != key.second;
-    });
+    };
+    std::erase_if(stopping_, hasEnded);
+    std::erase_if(sentOrders_, [&](const auto &item) { return hasEnded(item.first); });
     if (!output.starts.empty())
         proposeStarts(std::move(output.starts), now, wallMs);
 }
@@ -279,7 +301,12 @@
 
 void controller::proposeStarts(std::vector<assignment> runs, time_point now, std::int64_t wallMs)
 {
+    const job_record *previous = nullptr;
     for (const auto &run : runs) {
+        const auto *job = state_.findJob(run.task.job);
+        if (job != previous && job->state == job_state::Queued)
+            observeLatency_(latency_stage::Placement, milliseconds {wallMs - job->acceptedMs});
+        previous = job;
         unsentOrders_[{run.task, run.run}] = now;
         logEvent("task.placed",
                  {{"job", run.task.job},
@@ -289,13 +316,19 @@
                   {"worker", run.worker}});
     }
     committing_ = true;
+    std::set<std::string> workers;
+    for (const auto &run : runs)
+        workers.insert(run.worker);
     propose_(start_runs {std::move(runs), wallMs},
-             [this, alive = std::weak_ptr<int>(alive_)](const status &done) {
+             [this, workers = std::move(workers),
+              alive = std::weak_ptr<int>(alive_)](const status &done) mutable {
                  if (alive.expired())
                      return;
                  committing_ = false;
                  commitOutcomeUnknown_ = failed(done);
                  passRequested_ = true;
+                 ordersDue_.merge(workers);
+                 sendReadyOrders();
              });
 }
 
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace persimmon::batch {
 
@@ -16,6 +17,12 @@
 // Relative rate difference allowed between a worker's clock and the leader's.
 constexpr double maxClockDrift = 0.025;
 
+// A worker that sends no heartbeat for this time is treated as silent.
+constexpr milliseconds maxHeartbeatGap {1000};
+
+// Shortest time between an answer that was held and the next heartbeat.
+constexpr milliseconds minRetry {20};
+
 // Time that a draining worker needs to stop a run and report its end.
 constexpr std::int64_t finalReportMs = 1500;
 
@@ -50,20 +57,10 @@
 
 void controller::beginTerm(std::uint64_t term, time_point now)
 {
+    resetTermState();
     term_ = term;
     termStart_ = now;
-    workers_.clear();
-    stopping_.clear();
-    committingEnds_.clear();
-    unsentOrders_.clear();
-    byAddress_.clear();
-    cordonedMachines_.clear();
-    scheduler_.reset();
-    committing_ = false;
-    commitOutcomeUnknown_ = false;
-    adviceRequestInFlight_ = false;
-    advice_ = {};
-    alive_ = std::make_shared<int>(0);
+    now_ = now;
     passRequested_ = true;
     logEvent("leader.begin", {{"term", term}, {"jobs", state_.jobCount()}});
 }
@@ -72,37 +69,103 @@
 {
     if (term_ != 0)
         logEvent("leader.end", {{"term", term_}});
+    resetTermState();
+}
+
+// Drops everything that was learned or decided in an earlier term. Callbacks of that term have no
+// effect.
+void controller::resetTermState()
+{
     term_ = 0;
-    workers_.clear();
     alive_ = std::make_shared<int>(0);
+    workers_.clear();
+    byAddress_.clear();
+    cordonedMachines_.clear();
+    ordersDue_.clear();
+    stopping_.clear();
+    committingEnds_.clear();
+    unsentOrders_.clear();
+    sentOrders_.clear();
+    loggedWaits_.clear();
+    scheduler_.reset();
+    advice_ = {};
+    missingTickets_.clear();
+    adviceRequestInFlight_ = false;
+    nextAdviceRequest_ = {};
+    passRequested_ = false;
+    nextPass_ = {};
+    committing_ = false;
+    commitOutcomeUnknown_ = false;
+    hasWaitingUnits_ = false;
 }
 
 bool controller::isStale(const worker_state &worker, const worker_report &report) const
 {
     return std::pair(report.incarnation, report.sequence)
-            <= std::pair(worker.report.incarnation, worker.report.sequence);
+            < std::pair(worker.report.incarnation, worker.report.sequence);
+}
+
+// Returns an answer without a lease for a heartbeat that is older than the newest one or was
+// delayed in transit.
+std::optional<worker_orders> controller::refuse(const worker_report &report, time_point now) const
+{
+    const auto found = workers_.find(report.id);
+    if (found == workers_.end())
+        return std::nullopt;
+    const bool stale = isStale(found->second, report);
+    if (!stale && !isLate(found->second, report, now))
+        return std::nullopt;
+    logEvent(stale ? "worker.stale_heartbeat" : "worker.late_heartbeat",
+             {{"worker", report.id}, {"born", report.incarnation}, {"sequence", report.sequence}});
+    worker_orders orders;
+    orders.retryMs = options_.busyHeartbeatPeriod.count();
+    return orders;
 }
 
 void controller::heartbeat(time_point now, std::int64_t wallMs, const worker_report &report,
-                           const orders_callback &done)
+                           const orders_callback &done, answer_mode mode)
 {
     if (term_ == 0)
         return done(error {result_code::NotLeader, "this node is not the leader", {}, {}});
-    const auto found = workers_.find(report.id);
-    if (found != workers_.end() && isStale(found->second, report)) {
-        logEvent("worker.stale_heartbeat",
-                 {{"worker", report.id},
-                  {"born", report.incarnation},
-                  {"sequence", report.sequence}});
-        return done(worker_orders {});
-    }
-    if (found != workers_.end() && isLate(found->second, report, now)) {
-        logEvent("worker.late_heartbeat",
-                 {{"worker", report.id},
-                  {"born", report.incarnation},
-                  {"sequence", report.sequence}});
-        return done(worker_orders {});
-    }
+    now_ = std::max(now_, now);
+    if (auto refusal = refuse(report, now))
+        return done(std::move(*refusal));
+    auto &worker = recordHeartbeat(now, wallMs, report);
+    auto ends = collectEnds(worker, now);
+    updateMissing(worker, now, ends);
+    if (report.draining)
+        stopDraining(worker);
+    std::optional<std::uint64_t> ackedUpTo;
+    if (!report.ended.empty())
+        ackedUpTo = std::ranges::max(report.ended, {}, &ended_task::sequence).sequence;
+    const auto sendOrders
+            = [this, id = report.id, incarnation = report.incarnation, sequence = report.sequence,
+               ackedUpTo, done, mode, alive = std::weak_ptr<int>(alive_)](const status &committed) {
+                  if (failed(committed))
+                      return done(errorOf(committed));
+                  const auto current = alive.expired() ? workers_.end() : workers_.find(id);
+                  if (current == workers_.end())
+                      return done(error {result_code::NotLeader,
+                                         "leadership ended before the heartbeat was answered",
+                                         {},
+                                         {}});
+                  auto &answered = current->second;
+                  auto orders = ordersFor(answered);
+                  orders.ackedUpTo = ackedUpTo;
+                  const bool newest = answered.report.incarnation == incarnation
+                          && answered.report.sequence == sequence;
+                  if (mode == answer_mode::MayBeHeld && newest)
+                      holdAnswer(answered, orders);
+                  done(std::move(orders));
+              };
+    if (ends.empty())
+        return sendOrders(std::monostate {});
+    commitEnds(std::move(ends), wallMs, sendOrders);
+}
+
+controller::worker_state &controller::recordHeartbeat(time_point now, std::int64_t wallMs,
+                                                      const worker_report &report)
+{
     auto &worker = workers_[report.id];
     const bool newIncarnation = worker.report.incarnation != report.incarnation;
     if (newIncarnation) {
@@ -117,38 +180,23 @@
         worker.firstHeartbeat = now;
     } else if (report.draining && !worker.report.draining) {
         logEvent("worker.draining", {{"worker", report.id}, {"born", report.incarnation}});
+    } else if (report.sequence == worker.report.sequence) {
+        logEvent("worker.repeated_heartbeat",
+                 {{"worker", report.id},
+                  {"born", report.incarnation},
+                  {"sequence", report.sequence}});
     }
     worker.report = report;
     updateClockOffset(worker, now, wallMs, newIncarnation);
     updateAddress(report, now);
+    const auto silence
+            = newIncarnation ? std::chrono::microseconds {0} : now - worker.lastHeartbeat;
     worker.lastHeartbeat = now;
     worker.leftAt.reset();
-    updateRunning(worker, now);
+    worker.held.reset();
+    updateRunning(worker, now, silence);
     updatePace(worker, now);
-    auto ends = collectEnds(worker, now);
-    updateMissing(worker, now, ends);
-    if (report.draining)
-        stopDraining(worker);
-    std::optional<std::uint64_t> ackedUpTo;
-    if (!report.ended.empty())
-        ackedUpTo = std::ranges::max(report.ended, {}, &ended_task::sequence).sequence;
-    const auto sendOrders = [this, id = report.id, ackedUpTo, done,
-                             alive = std::weak_ptr<int>(alive_)](const status &committed) {
-        if (failed(committed))
-            return done(errorOf(committed));
-        const auto current = workers_.find(id);
-        if (alive.expired() || current == workers_.end())
-            return done(error {result_code::NotLeader,
-                               "leadership ended before the heartbeat was answered",
-                               {},
-                               {}});
-        auto orders = ordersFor(current->second);
-        orders.ackedUpTo = ackedUpTo;
-        done(std::move(orders));
-    };
-    if (ends.empty())
-        return sendOrders(std::monostate {});
-    commitEnds(std::move(ends), wallMs, sendOrders);
+    return worker;
 }
 
 // Returns whether a heartbeat was delayed in transit, for example by a network partition. Such a
@@ -214,16 +262,25 @@
     found->second.leftAt = now;
 }
 
-void controller::updateRunning(worker_state &worker, time_point now)
+// Tracks the listed runs of known tasks; others are stopped. The time in which a worker was silent
+// doesn't count as time without progress.
+void controller::updateRunning(worker_state &worker, time_point now,
+                               std::chrono::microseconds silence)
 {
     std::map<task_id, tracked_run> updated;
     for (const auto &row : worker.report.running) {
+        if (!state_.hasTask(row.task))
+            continue;
         auto &tracked = updated[row.task];
         const auto earlier = worker.runs.find(row.task);
         if (earlier != worker.runs.end() && earlier->second.run == row.run)
             tracked = earlier->second;
-        else
-            tracked = {row.run, now, now, 0, {}};
+        else {
+            tracked = {row.run, now, row.percent, now, row.percent, {}};
+            recordReported({row.task, row.run});
+        }
+        if (silence > maxHeartbeatGap)
+            tracked.lastProgress = std::min(now, tracked.lastProgress + silence);
         if (tracked.percent != row.percent) {
             tracked.percent = row.percent;
             tracked.lastProgress = now;
@@ -314,15 +371,61 @@
 void controller::commitEnds(std::vector<run_end> ends, std::int64_t wallMs,
                             std::function<void(status)> done)
 {
+    std::vector<task_id> gangs;
+    for (const auto &end : ends) {
+        const auto *job = state_.findJob(end.task.job);
+        if (job != nullptr && job->spec.steps[end.task.step].gang)
+            gangs.push_back(end.task);
+    }
     propose_(end_runs {std::move(ends), wallMs},
-             [this, done = std::move(done),
+             [this, gangs = std::move(gangs), done = std::move(done),
               alive = std::weak_ptr<int>(alive_)](const status &committed) {
-                 if (!alive.expired())
+                 if (!alive.expired()) {
                      passRequested_ = true;
+                     for (const auto &task : gangs)
+                         markMembers(task);
+                 }
                  done(committed);
              });
 }
 
+// Marks the workers of the active members of a gang, which are stopped if a member has ended.
+void controller::markMembers(const task_id &task)
+{
+    const auto *job = state_.findJob(task.job);
+    if (job == nullptr)
+        return;
+    for (const auto &member : job->stepOf(task).tasks) {
+        if (member.active)
+            ordersDue_.insert(member.worker);
+    }
+}
+
+void controller::stopJob(const std::string &id)
+{
+    passRequested_ = true;
+    const auto *job = state_.findJob(id);
+    if (job == nullptr)
+        return;
+    for (const auto &steps : job->occurrences) {
+        for (const auto &step : steps) {
+            for (const auto &task : step.tasks) {
+                if (task.active)
+                    ordersDue_.insert(task.worker);
+            }
+        }
+    }
+}
+
+// Returns false if the run is being stopped already.
+bool controller::requestStop(const task_id &task, std::uint32_t run, const std::string &worker)
+{
+    if (!stopping_.insert({task, run}).second)
+        return false;
+    ordersDue_.insert(worker);
+    return true;
+}
+
 // Returns whether a member of a gang's current run is no longer active although the step isn't
 // done. The remaining members have to be stopped then.
 bool controller::isIncompleteGang(const job_record &job, const task_id &task) const
@@ -342,23 +445,31 @@
             || worker.report.draining || isIncompleteGang(*job, task);
 }
 
+// Returns whether a run that a worker reports has to be stopped.
+bool controller::shouldEnd(const worker_state &worker, const running_task &row) const
+{
+    const auto &runs = state_.runsOn(worker.report.id);
+    const auto found = runs.find(row.task);
+    const bool expected = found != runs.end() && found->second.run == row.run
+            && found->second.incarnation == worker.report.incarnation;
+    if (!expected)
+        return true;
+    const auto *job = state_.findJob(row.task.job);
+    // A run of a completed job isn't stopped: the other members of a gang end by themselves once
+    // the end of the gang is committed.
+    if (job != nullptr && job->state == job_state::Done)
+        return false;
+    return job == nullptr || job->ended() || stopping_.contains({row.task, row.run})
+            || isIncompleteGang(*job, row.task);
+}
+
 worker_orders controller::ordersFor(worker_state &worker)
 {
     worker_orders orders;
     orders.leaseMs = options_.lease.count();
     orders.fencingToken = term_;
-    const auto &runs = state_.runsOn(worker.report.id);
     for (const auto &row : worker.report.running) {
-        const auto found = runs.find(row.task);
-        const bool expected = found != runs.end() && found->second.run == row.run
-                && found->second.incarnation == worker.report.incarnation;
-        const auto *job = state_.findJob(row.task.job);
-        const bool shouldEnd = job == nullptr || job->ended()
-                || stopping_.contains({row.task, row.run})
-                || (expected && isIncompleteGang(*job, row.task));
-        // A run of a completed job isn't stopped: the other members of a gang end by themselves
-        // once the end of the gang is committed.
-        if (!expected || (shouldEnd && !(job != nullptr && job->state == job_state::Done)))
+        if (shouldEnd(worker, row))
             orders.stops.push_back({row.task, row.run});
     }
     addStarts(worker, orders);
@@ -367,20 +478,106 @@
             || !orders.starts.empty() || !orders.stops.empty();
     const auto period
             = worker.report.draining ? options_.busyHeartbeatPeriod : heartbeatPeriod(busy);
-    worker.nextHeartbeat = worker.lastHeartbeat + period;
+    worker.nextHeartbeat = now_ + period;
     orders.retryMs = period.count();
     return orders;
 }
 
+// Returns for how long the answer to the newest heartbeat of a worker may be held, or zero.
+milliseconds controller::holdLimit(const worker_state &worker) const
+{
+    if (worker.report.draining || worker.paceReduced)
+        return milliseconds {0};
+    std::vector<milliseconds> remaining;
+    for (const auto &[task, tracked] : worker.runs) {
+        const auto *job = state_.findJob(task.job);
+        if (job == nullptr)
+            return milliseconds {0};
+        const auto &spec = job->spec.steps[task.step];
+        // The pace of other tasks depends on the reports of tasks that serve users.
+        if (spec.latencyObjectiveMs > 0)
+            return milliseconds {0};
+        if (spec.longRunning)
+            continue;
+        remaining.push_back(expectedRemaining(
+                {tracked.firstPercent, tracked.percent,
+                 std::chrono::duration_cast<milliseconds>(tracked.lastProgress - tracked.started),
+                 std::chrono::duration_cast<milliseconds>(now_ - tracked.lastProgress),
+                 milliseconds {spec.estimateMs}}));
+    }
+    auto limits = options_.hold;
+    limits.longest -= std::chrono::duration_cast<milliseconds>(now_ - worker.lastHeartbeat);
+    if (worker.report.clockMs != 0)
+        limits.longest -= milliseconds {millisecondsOf(worker.lastHeartbeat.time_since_epoch())
+                                        - worker.report.clockMs - worker.clockOffsetMs};
+    return holdFor(remaining, limits);
+}
+
+// Allows the answer to be held if it contains no orders.
+void controller::holdAnswer(worker_state &worker, worker_orders &orders)
+{
+    if (!orders.starts.empty() || !orders.stops.empty() || !orders.paces.empty())
+        return;
+    const auto hold = holdLimit(worker);
+    if (hold.count() == 0)
+        return;
+    const auto period = heartbeatPeriod(hasWaitingUnits_);
+    orders.holdMs = hold.count();
+    orders.retryMs = std::max(minRetry, period - hold).count();
+    worker.held = held_answer {now_ + hold, orders.ackedUpTo};
+    worker.nextHeartbeat = now_;
+}
+
+// Sends orders that have become ready to the workers whose answers are held.
+void controller::sendReadyOrders()
+{
+    for (const auto &id : std::exchange(ordersDue_, {})) {
+        const auto found = workers_.find(id);
+        if (found == workers_.end() || !found->second.held || found->second.held->until <= now_)
+            continue;
+        auto &worker = found->second;
+        const auto nextHeartbeat = worker.nextHeartbeat;
+        auto orders = ordersFor(worker);
+        if (orders.starts.empty() && orders.stops.empty() && orders.paces.empty()) {
+            worker.nextHeartbeat = nextHeartbeat;
+            continue;
+        }
+        orders.ackedUpTo = worker.held->ackedUpTo;
+        worker.held.reset();
+        ordersReady_(id, std::move(orders));
+    }
+}
+
 // The period grows with the number of workers, to limit the heartbeat rate of the whole fleet.
 milliseconds controller::heartbeatPeriod(bool busy) const
 {
-    const auto load = options_.heartbeatPeriodPerWorker * static_cast<int>(workers_.size());
+    const auto load = std::chrono::duration_cast<milliseconds>(options_.heartbeatPeriodPerWorker
+                                                               * static_cast<int>(workers_.size()));
     const auto period = busy ? std::max(options_.busyHeartbeatPeriod, load)
                              : std::max(options_.idleHeartbeatPeriod, load * 2);
     return std::min(period, options_.maxHeartbeatPeriod);
 }
 
+// Repeated orders aren't observed again.
+void controller::recordOrderSent(const run_key &run)
+{
+    const auto placed = unsentOrders_.find(run);
+    if (placed == unsentOrders_.end())
+        return;
+    observeLatency_(latency_stage::Order, now_ - placed->second);
+    unsentOrders_.erase(placed);
+    sentOrders_[run] = now_;
+}
+
+void controller::recordReported(const run_key &run)
+{
+    const auto sent = sentOrders_.find(run);
+    if (sent == sentOrders_.end())
+        return;
+    observeLatency_(latency_stage::Start, now_ - sent->second);
+    sentOrders_.erase(sent);
+}
+
 void controller::addStarts(const worker_state &worker, worker_orders &orders)
 {
     for (const auto &[task, run] : state_.runsOn(worker.report.id)) {
@@ -414,7 +611,7 @@
         }
         orders.starts.push_back(
                 {task, run.run, job.spec.payload, std::move(checkpoint), std::move(ticketText)});
-        unsentOrders_.erase({task, run.run});
+        recordOrderSent({task, run.run});
         logEvent("task.start_sent",
                  {{"job", task.job},
                   {"task", nameOf(task)},
@@ -428,10 +625,10 @@
 {
     double worst = 0;
     for (const auto &row : worker.report.running) {
-        const auto *job = state_.findJob(row.task.job);
-        if (job == nullptr || row.task.step >= job->spec.steps.size())
+        if (!state_.hasTask(row.task))
             continue;
-        const auto objective = job->spec.steps[row.task.step].latencyObjectiveMs;
+        const auto objective
+                = state_.findJob(row.task.job)->spec.steps[row.task.step].latencyObjectiveMs;
         if (objective > 0)
             worst = std::max(worst, static_cast<double>(row.tailLatencyMs) / objective);
     }
@@ -452,9 +649,8 @@
         return;
     worker.paceReduced = worker.pace.percent() < 100;
     for (const auto &row : worker.report.running) {
-        const auto *job = state_.findJob(row.task.job);
-        if (job != nullptr && row.task.step < job->spec.steps.size()
-            && job->spec.steps[row.task.step].usesIdleCpu)
+        if (state_.hasTask(row.task)
+            && state_.findJob(row.task.job)->spec.steps[row.task.step].usesIdleCpu)
             orders.paces.push_back({row.task, row.run, worker.pace.percent()});
     }
 }
@@ -474,7 +670,7 @@
                 * (100 - std::min(100U, tracked.percent)) / 100;
         const auto remaining = *worker.report.remainingMs;
         if ((left > remaining || remaining < finalReportMs)
-            && stopping_.insert({task, tracked.run}).second)
+            && requestStop(task, tracked.run, worker.report.id))
             logEvent("task.moved",
                      {{"task", nameOf(task)},
                       {"job", task.job},
--- a/packages/batch/src/ledger.cc
+++ b/packages/batch/src/ledger.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Completed waves are evicted, oldest first, once this many waves are stored. Waves that are not
-// done are always kept, and so are the newer ones behind them.
+// done are always kept.
 constexpr std::size_t maxWaves = 64;
 
 // Events kept for each job.
@@ -88,6 +88,14 @@
         visit(jobs_.at(id));
 }
 
+bool ledger::hasTask(const task_id &id) const
+{
+    const auto *job = findJob(id.job);
+    return job != nullptr && id.occurrence < job->occurrences.size()
+            && id.step < job->occurrences[id.occurrence].size()
+            && id.index < job->occurrences[id.occurrence][id.step].tasks.size();
+}
+
 const std::map<task_id, assignment> &ledger::runsOn(const std::string &worker) const
 {
     static const std::map<task_id, assignment> none;
@@ -282,8 +290,13 @@
 {
     if (waves_.contains(input.value.id))
         return;
-    while (waves_.size() >= maxWaves && waves_.begin()->second.done())
-        waves_.erase(waves_.begin());
+    while (waves_.size() >= maxWaves) {
+        const auto oldestDone
+                = std::ranges::find_if(waves_, [](const auto &item) { return item.second.done(); });
+        if (oldestDone == waves_.end())
+            break;
+        waves_.erase(oldestDone);
+    }
     auto &record = waves_[input.value.id];
     record.spec = input.value;
     record.startedMs = input.wallMs;
--- a/packages/batch/src/report_codec.cc
+++ b/packages/batch/src/report_codec.cc
@@ -1,5 +1,6 @@
 #include "report_codec.h"
 
+#include "base/message_archive.h"
 #include "serialize.h"
 
 #include <cereal/archives/binary.hpp>
@@ -54,39 +55,44 @@
             value.paces, value.retryMs);
 }
 
-namespace detail {
+template <typename Archive>
+void serialize(Archive &archive, heartbeat_key &value)
+{
+    archive(value.worker, value.incarnation, value.sequence);
+}
 
 template <typename Archive>
-void serialize(Archive &archive, batch_answer &value)
+void serialize(Archive &archive, released_answer &value)
 {
-    archive(value.code, value.detail, value.orders);
+    archive(value.heartbeat, value.orders);
 }
 
+namespace detail {
+
 template <typename Archive>
-void serialize(Archive &archive, batch_answers &value)
+void serialize(Archive &archive, batch_answer &value)
 {
-    archive(value.leaderAddress, value.stayWithForwarder, value.answers);
+    archive(value.code, value.detail, value.orders);
 }
 
 namespace {
 
-template <typename Value>
-std::string pack(const Value &value)
+template <typename Write>
+std::string pack(const Write &write)
 {
     std::ostringstream stream(std::ios::binary);
     cereal::BinaryOutputArchive archive(stream);
-    archive(value);
+    write(archive);
     return std::move(stream).str();
 }
 
-template <typename Value>
-result<Value> unpack(const std::string &bytes)
+template <typename Value, typename Read>
+result<Value> unpack(const std::string &bytes, const Read &read)
 {
-    std::istringstream stream(bytes, std::ios::binary);
     Value value;
     try {
-        cereal::BinaryInputArchive archive(stream);
-        archive(value);
+        message_archive archive(bytes);
+        read(archive, value);
     } catch (const std::exception &failure) {
         return error {result_code::MalformedRequest, failure.what(), {}, {}};
     }
@@ -95,24 +101,35 @@
 
 } // namespace
 
-std::string encodeReports(const std::vector<worker_report> &reports)
+std::string encodeReports(const report_batch &batch)
 {
-    return pack(reports);
+    return pack([&](auto &archive) { archive(batch.reports, batch.forwarder); });
 }
 
 std::string encodeAnswers(const batch_answers &answers)
 {
-    return pack(answers);
+    return pack([&](auto &archive) {
+        archive(answers.leaderAddress, answers.stayWithForwarder, answers.answers);
+        archive(answers.acceptsPolls, answers.holdMs, answers.released);
+    });
 }
 
-result<std::vector<worker_report>> decodeReports(const std::string &bytes)
+result<report_batch> decodeReports(const std::string &bytes)
 {
-    return unpack<std::vector<worker_report>>(bytes);
+    return unpack<report_batch>(bytes, [](message_archive &archive, report_batch &batch) {
+        archive(batch.reports);
+        if (!archive.atEnd())
+            archive(batch.forwarder);
+    });
 }
 
 result<batch_answers> decodeAnswers(const std::string &bytes)
 {
-    return unpack<batch_answers>(bytes);
+    return unpack<batch_answers>(bytes, [](message_archive &archive, batch_answers &answers) {
+        archive(answers.leaderAddress, answers.stayWithForwarder, answers.answers);
+        if (!archive.atEnd())
+            archive(answers.acceptsPolls, answers.holdMs, answers.released);
+    });
 }
 
 } // namespace detail
--- a/packages/batch/src/report_codec.h
+++ b/packages/batch/src/report_codec.h
@@ -1,13 +1,23 @@
 #pragma once
 
+#include "batch/order_feed.h"
 #include "batch/report_router.h"
 
 #include <string>
 #include <vector>
 
-// Binary encoding of reports and orders, exchanged between nodes of the same version.
+// Binary encoding of reports and orders, exchanged between nodes. The members that were added later
+// follow the others: older nodes ignore them, and they are empty in messages of older nodes.
 namespace persimmon::batch::detail {
 
+// Reports that a node forwards to the leader. Without reports, the batch is a poll: it is answered
+// once there are orders for answers that the node holds.
+struct report_batch
+{
+    std::vector<worker_report> reports;
+    std::string forwarder; // address of the node if it can hold answers, otherwise empty
+};
+
 // Answer to one report of a batch: either orders, or the code and the detail of an error.
 struct batch_answer
 {
@@ -22,13 +32,16 @@
     std::string leaderAddress; // address of the leader for workers
     bool stayWithForwarder = false; // workers keep reporting to the forwarding node
     std::vector<batch_answer> answers;
+    bool acceptsPolls = false; // the leader answers polls
+    std::vector<std::int64_t> holdMs; // by report: time for which the answer may be held
+    std::vector<released_answer> released; // orders for answers that the node holds
 };
 
-std::string encodeReports(const std::vector<worker_report> &reports);
+std::string encodeReports(const report_batch &batch);
 std::string encodeAnswers(const batch_answers &answers);
 
 // Fail with MalformedRequest.
-result<std::vector<worker_report>> decodeReports(const std::string &bytes);
+result<report_batch> decodeReports(const std::string &bytes);
 result<batch_answers> decodeAnswers(const std::string &bytes);
 
 } // namespace persimmon::batch::detail
--- a/packages/batch/src/report_router.cc
+++ b/packages/batch/src/report_router.cc
@@ -9,12 +9,20 @@
 
 namespace {
 
+// Time over which workers are told to spread their next heartbeats if all held answers are sent.
+constexpr milliseconds releaseSpread {300};
+
 struct pending_batch
 {
     detail::batch_answers answers;
     std::size_t unanswered = 0; // reports without an answer
 };
 
+heartbeat_key keyOf(const worker_report &report)
+{
+    return {report.id, report.incarnation, report.sequence};
+}
+
 detail::batch_answer answerOf(const result<worker_orders> &outcome)
 {
     if (failed(outcome))
@@ -31,7 +39,12 @@
     , timers_(timers)
     , send_(std::move(send))
     , peers_(std::move(peers))
+    , held_(timers)
+    , feed_(timers)
 {
+    workers_.onOrdersReady([this](const std::string &worker, worker_orders orders) {
+        releaseFor(worker, std::move(orders));
+    });
 }
 
 report_router::~report_router()
@@ -42,12 +55,21 @@
 void report_router::handleReport(time_point now, std::int64_t wallMs, const worker_report &report,
                                  const completion &done)
 {
-    workers_.heartbeat(now, wallMs, report,
-                       [this, id = report.id, done](const result<worker_orders> &outcome) {
-                           if (failed(outcome))
-                               return done(errorOf(outcome));
-                           done(routed_orders {valueOf(outcome), reportAddressFor(id)});
-                       });
+    const auto answer = [this, key = keyOf(report), done,
+                         received = timers_.now()](const result<worker_orders> &outcome) {
+        if (failed(outcome))
+            return done(errorOf(outcome));
+        const auto &orders = valueOf(outcome);
+        routed_orders routed {orders, reportAddressFor(key.worker)};
+        holders_.erase(key.worker);
+        if (orders.holdMs == 0) {
+            observeAnswer_(timers_.now() - received);
+            return done(std::move(routed));
+        }
+        held_.hold(key, std::move(routed), milliseconds {orders.holdMs}, done);
+    };
+    workers_.heartbeat(now, wallMs, report, answer,
+                       mayHold_ ? answer_mode::MayBeHeld : answer_mode::Immediate);
 }
 
 // Distributes the workers of a large fleet over the other nodes. The assignment is stable as long
@@ -71,10 +93,20 @@
     const auto decoded = detail::decodeReports(batch);
     if (failed(decoded))
         return done(errorOf(decoded));
-    const auto &reports = valueOf(decoded);
+    const auto &[reports, forwarder] = valueOf(decoded);
     auto progress = std::make_shared<pending_batch>();
     progress->answers.leaderAddress = options_.address;
+    progress->answers.acceptsPolls = true;
+    if (reports.empty() && !forwarder.empty()) {
+        return feed_.poll(forwarder, [progress, done](auto orders) {
+            if (failed(orders))
+                return done(errorOf(orders));
+            progress->answers.released = std::move(valueOf(orders));
+            done(detail::encodeAnswers(progress->answers));
+        });
+    }
     progress->answers.answers.resize(reports.size());
+    progress->answers.holdMs.resize(reports.size());
     progress->unanswered = reports.size();
     const auto finish = [this, progress, done] {
         progress->answers.stayWithForwarder = workers_.workerCount() > options_.maxDirectWorkers;
@@ -82,19 +114,58 @@
     };
     if (reports.empty())
         return finish();
+    const auto mode = modeFor(forwarder);
     for (std::size_t i = 0; i < reports.size(); ++i) {
-        workers_.heartbeat(now, wallMs, reports[i],
-                           [progress, i, finish](const result<worker_orders> &outcome) {
-                               progress->answers.answers[i] = answerOf(outcome);
-                               if (--progress->unanswered == 0)
-                                   finish();
-                           });
+        const auto answer = [this, progress, i, finish, key = keyOf(reports[i]),
+                             node = forwarder](const result<worker_orders> &outcome) {
+            progress->answers.answers[i] = answerOf(outcome);
+            holders_.erase(key.worker);
+            if (!failed(outcome) && valueOf(outcome).holdMs > 0) {
+                progress->answers.holdMs[i] = valueOf(outcome).holdMs;
+                holders_[key.worker] = {key, node};
+            }
+            if (--progress->unanswered == 0)
+                finish();
+        };
+        workers_.heartbeat(now, wallMs, reports[i], answer, mode);
     }
 }
 
+answer_mode report_router::modeFor(const std::string &forwarder) const
+{
+    return !forwarder.empty() && feed_.isPolling(forwarder) ? answer_mode::MayBeHeld
+                                                            : answer_mode::Immediate;
+}
+
+// Sends the orders to the node that holds the answer to the worker. If the answer is no longer held
+// there, the orders are repeated in the answer to the next heartbeat.
+void report_router::releaseFor(const std::string &worker, worker_orders orders)
+{
+    const auto found = holders_.find(worker);
+    if (found == holders_.end()) {
+        held_.releaseNewest(worker, std::move(orders));
+        return;
+    }
+    feed_.push(found->second.node, {found->second.heartbeat, std::move(orders)});
+    holders_.erase(found);
+}
+
+void report_router::handleLeadershipChange()
+{
+    holders_.clear();
+    feed_.reset();
+    held_.releaseAll(releaseSpread);
+}
+
+void report_router::stopHolding()
+{
+    mayHold_ = false;
+    held_.releaseAll(milliseconds {0});
+}
+
 void report_router::forward(worker_report report, completion done)
 {
-    pending_.push_back({std::move(report), std::move(done)});
+    pending_.push_back({std::move(report), std::move(done), timers_.now()});
     if (pending_.size() >= options_.batchSize)
         return flush();
     if (pending_.size() == 1)
@@ -104,43 +175,90 @@
 void report_router::flush()
 {
     timers_.cancel(flushTimer_);
-    std::vector<worker_report> reports;
-    std::vector<completion> completions;
-    for (auto &pending : pending_) {
-        reports.push_back(std::move(pending.report));
-        completions.push_back(std::move(pending.done));
+    detail::report_batch batch;
+    if (mayHold_)
+        batch.forwarder = options_.address;
+    auto sent = std::exchange(pending_, {});
+    for (const auto &pending : sent)
+        batch.reports.push_back(pending.report);
+    send_(detail::encodeReports(batch),
+          [this, sent = std::move(sent),
+           alive = std::weak_ptr<int>(alive_)](const result<std::string> &answer) mutable {
+              if (alive.expired())
+                  return;
+              if (!failed(answer))
+                  return deliver(valueOf(answer), sent);
+              for (const auto &item : sent)
+                  item.done(errorOf(answer));
+          });
+}
+
+void report_router::deliver(const std::string &answer, std::vector<pending_report> &reports)
+{
+    const auto failAll = [&reports](const error &reason) {
+        for (const auto &item : reports)
+            item.done(reason);
+    };
+    const auto decoded = detail::decodeAnswers(answer);
+    if (failed(decoded))
+        return failAll(errorOf(decoded));
+    const auto &batch = valueOf(decoded);
+    if (batch.answers.size() != reports.size()) {
+        logEvent("reports.miscounted",
+                 {{"sent", reports.size()}, {"answered", batch.answers.size()}});
+        return failAll({result_code::Internal,
+                        "number of answers differs from number of reports",
+                        {},
+                        {}});
     }
-    pending_.clear();
-    send_(detail::encodeReports(reports),
-          [completions = std::move(completions),
-           address = options_.address](const result<std::string> &answer) {
-              const auto failAll = [&completions](const error &reason) {
-                  for (const auto &done : completions)
-                      done(reason);
-              };
-              if (failed(answer))
-                  return failAll(errorOf(answer));
-              const auto decoded = detail::decodeAnswers(valueOf(answer));
-              if (failed(decoded))
-                  return failAll(errorOf(decoded));
-              const auto &[leaderAddress, stayWithForwarder, answers] = valueOf(decoded);
-              if (answers.size() != completions.size()) {
-                  logEvent("reports.miscounted",
-                           {{"sent", completions.size()}, {"answered", answers.size()}});
-                  return failAll({result_code::Internal,
-                                  "number of answers differs from number of reports",
-                                  {},
-                                  {}});
-              }
-              for (std::size_t i = 0; i < answers.size(); ++i) {
-                  const auto &item = answers[i];
-                  if (item.code != result_code::Ok)
-                      completions[i](error {item.code, item.detail, {}, {}});
-                  else
-                      completions[i](routed_orders {item.orders,
-                                                    stayWithForwarder ? address : leaderAddress});
-              }
+    const auto &address = batch.stayWithForwarder ? options_.address : batch.leaderAddress;
+    for (std::size_t i = 0; i < reports.size(); ++i) {
+        const auto &item = batch.answers[i];
+        if (item.code != result_code::Ok) {
+            reports[i].done(error {item.code, item.detail, {}, {}});
+            continue;
+        }
+        const auto hold = i < batch.holdMs.size() && mayHold_ ? batch.holdMs[i] : 0;
+        routed_orders routed {item.orders, address};
+        if (hold == 0) {
+            observeAnswer_(timers_.now() - reports[i].received);
+            reports[i].done(std::move(routed));
+            continue;
+        }
+        held_.hold(keyOf(reports[i].report), std::move(routed), milliseconds {hold},
+                   std::move(reports[i].done));
+    }
+    if (batch.acceptsPolls && !pollInFlight_ && mayHold_) {
+        polledLeader_ = batch.leaderAddress;
+        poll();
+    }
+}
+
+// Asks the leader for orders for the answers that this node holds.
+void report_router::poll()
+{
+    pollInFlight_ = true;
+    send_(detail::encodeReports({{}, options_.address}),
+          [this, alive = std::weak_ptr<int>(alive_)](const result<std::string> &answer) {
+              if (!alive.expired())
+                  finishPoll(answer);
           });
 }
 
+// Held answers are sent if the leader can't be reached or another node has become the leader,
+// because the new leader needs the reports of all workers.
+void report_router::finishPoll(const result<std::string> &answer)
+{
+    pollInFlight_ = false;
+    const auto decoded = failed(answer) ? result<detail::batch_answers> {errorOf(answer)}
+                                        : detail::decodeAnswers(valueOf(answer));
+    if (failed(decoded) || !valueOf(decoded).acceptsPolls
+        || valueOf(decoded).leaderAddress != polledLeader_)
+        return held_.releaseAll(releaseSpread);
+    for (const auto &item : valueOf(decoded).released)
+        held_.release(item.heartbeat, item.orders);
+    if (mayHold_)
+        poll();
+}
+
 } // namespace persimmon::batch
--- a/packages/batch/src/service.cc
+++ b/packages/batch/src/service.cc
@@ -161,18 +161,20 @@
 void service::cancel(std::int64_t wallMs, const caller &from,
                      const std::function<void(status)> &done)
 {
-    find(from, [this, wallMs, path = std::string(from.path), done](const result<job_state> &found) {
+    const auto resolved = resolve(from);
+    if (failed(resolved))
+        return done(errorOf(resolved));
+    find(from, [this, wallMs, id = valueOf(resolved).id, done](const result<job_state> &found) {
         if (failed(found))
             return done(errorOf(found));
         if (valueOf(found) != job_state::Queued && valueOf(found) != job_state::Running)
             return done(std::monostate {});
-        const auto id = path.substr(path.rfind('/') + 1);
         propose_(cancel_job {id, wallMs}, [this, id, done](const status &committed) {
             logEvent("job.cancelled",
                      {{"job", id},
                       {"outcome",
                        failed(committed) ? describe(errorOf(committed).code).name : "ok"}});
-            workers_.requestPass();
+            workers_.stopJob(id);
             done(failed(committed) ? status {commitError(errorOf(committed))} : committed);
         });
     });
--- a/packages/batch/test/controller-test.cc
+++ b/packages/batch/test/controller-test.cc
@@ -232,6 +232,92 @@
     CHECK_EQUAL(1, sendNextHeartbeat(running).stops.size());
 }
 
+// Guards against giving up a run because its worker reported late: while a worker is silent,
+// nothing is known of its progress.
+TEST(Controller, keepsRunOfWorkerThatWasSilent)
+{
+    auto running = startOnWorker(leader_fixture::tasks(1, 1));
+    sendNextHeartbeat(running);
+    for (int ms = 0; ms < 4000; ms += 100)
+        leader.advance(100);
+    CHECK_EQUAL(0, sendNextHeartbeat(running).stops.size());
+    leader.advance(100);
+    CHECK_EQUAL(0, sendNextHeartbeat(running).stops.size());
+    CHECK_EQUAL(1, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
+}
+
+// Guards against moving a long run again and again: it keeps the same percentage for half a minute.
+TEST(Controller, keepsLongRunBetweenTwoPercentages)
+{
+    auto step = leader_fixture::tasks(1, 1);
+    step.estimateMs = 3'600'000;
+    auto running = startOnWorker(step);
+    for (int ms = 0; ms < 36'000; ms += 500) {
+        CHECK_EQUAL(0, sendNextHeartbeat(running).stops.size());
+        leader.advance(500);
+    }
+}
+
+// Guards against a worker that gets no lease and no orders because the answer to its heartbeat was
+// lost and it has sent the same heartbeat again.
+TEST(Controller, answersRepeatedHeartbeatWithOrders)
+{
+    leader.configure(1);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.sendHeartbeat(leader.report("w1"));
+    leader.advance(100);
+    const auto report = leader.report("w1");
+    CHECK_EQUAL(1, leader.sendHeartbeat(report).starts.size());
+    const auto again = leader.sendHeartbeat(report);
+    CHECK_EQUAL(1, again.starts.size());
+    CHECK_EQUAL(5000, again.leaseMs);
+    CHECK_EQUAL(1, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
+}
+
+// Guards against two concurrent runs: the worker counts its lease from the copy whose answer it
+// received, which may be the newest one.
+TEST(Controller, countsTheLeaseFromTheNewestCopyOfAHeartbeat)
+{
+    auto running = startOnWorker(leader_fixture::tasks(1, 1));
+    running.sequence = ++leader.sequence;
+    leader.sendHeartbeat(running);
+    leader.advance(900);
+    leader.sendHeartbeat(running);
+    for (int ms = 0; ms < 5100; ms += 100) {
+        leader.sendHeartbeat(leader.report("w2"));
+        leader.advance(100);
+    }
+    CHECK_EQUAL(1, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
+}
+
+// Guards against a process that ends because a worker lists tasks that its job doesn't have.
+TEST(Controller, stopsUnknownTasksOfKnownJobs)
+{
+    auto report = startOnWorker(leader_fixture::tasks(1, 1));
+    report.running.clear();
+    for (const task_id &task :
+         {task_id {"a", 0, 0, 9}, {"a", 0, 9, 0}, {"a", 9, 0, 0}, {"?", 0, 0, 0}})
+        report.running.push_back({task, 1, "", 10, 0});
+    report.draining = true;
+    report.remainingMs = 0;
+    CHECK_EQUAL(4, sendNextHeartbeat(report).stops.size());
+    for (int ms = 0; ms < 3000; ms += 100) {
+        leader.advance(100);
+        CHECK_EQUAL(4, sendNextHeartbeat(report).stops.size());
+    }
+}
+
+// Guards against a worker that waits for its whole heartbeat period after a heartbeat that came too
+// late.
+TEST(Controller, asksForANewHeartbeatAfterALateOne)
+{
+    auto old = leader.report("w1");
+    leader.sendHeartbeat(leader.report("w1"));
+    const auto orders = leader.sendHeartbeat(old);
+    CHECK_EQUAL(0, orders.leaseMs);
+    CHECK_EQUAL(100, orders.retryMs);
+}
+
 // Guards against idle-time tasks that keep a serving task above its latency objective, and against
 // a reduced pace that is not repeated or never raised again.
 TEST(Controller, slowsIdleTimeTasksBesideSlowServingTasks)
--- a/packages/batch/test/ledger-test.cc
+++ b/packages/batch/test/ledger-test.cc
@@ -146,3 +146,14 @@
     CHECK_TRUE(failed(other.restore(bytes)));
     CHECK_TRUE(other.findJob("a") == nullptr);
 }
+
+// Guards against waves that accumulate behind one that never completes.
+TEST(Ledger, evictsCompletedWavesBehindAStuckOne)
+{
+    state.apply(start_wave {{1, {"stuck"}, 1000, 1}, 10});
+    for (std::uint64_t id = 2; id < 200; ++id)
+        state.apply(start_wave {{id, {}, 1000, 1}, 10});
+    CHECK_TRUE(state.waves().size() <= 64);
+    CHECK_TRUE(state.waves().contains(1));
+    CHECK_TRUE(state.waves().contains(199));
+}
--- a/packages/batch/test/report_router-test.cc
+++ b/packages/batch/test/report_router-test.cc
@@ -1,5 +1,6 @@
 #include "batch/report_router.h"
 #include "fixture.h"
+#include "report_codec.h"
 
 using namespace persimmon;
 using namespace persimmon::batch;
@@ -37,6 +38,13 @@
             },
             [] { return std::vector<std::string> {}; }};
 
+    // The tests of this group are about reports that are answered at once.
+    void setup() override
+    {
+        leaderRouter.stopHolding();
+        followerRouter.stopHolding();
+    }
+
     result<routed_orders> pass(const std::string &id)
     {
         result<routed_orders> outcome = error {};
@@ -133,3 +141,184 @@
             });
     CHECK_TRUE(refused);
 }
+
+TEST_GROUP(HeldReports)
+{
+    leader_fixture leader;
+    manual_timer_service timers;
+
+    router_options optionsOf(const std::string &address)
+    {
+        router_options options;
+        options.address = address;
+        options.maxDirectWorkers = 1;
+        return options;
+    }
+
+    report_router leaderRouter {optionsOf("leader:1"), leader.workers, timers,
+                                [](const std::string &, const report_router::batch_completion &) {},
+                                [] { return std::vector<std::string> {"follower:1"}; }};
+    leader_fixture followerState;
+    report_router followerRouter {
+            optionsOf("follower:1"), followerState.workers, timers,
+            [this](const std::string &batch, const report_router::batch_completion &done) {
+                leaderRouter.handleBatch(leader.now, leader.wallMs, batch, done);
+            },
+            [] { return std::vector<std::string> {}; }};
+    std::map<std::string, std::vector<worker_orders>> answers; // by worker
+
+    void setup() override
+    {
+        leader.configure(1);
+    }
+
+    void advance(std::int64_t ms)
+    {
+        for (; ms > 0; ms -= 10) {
+            leader.advance(10);
+            timers.advance(milliseconds {10});
+        }
+    }
+
+    void send(const worker_report &report)
+    {
+        followerRouter.forward(report, [this, id = report.id](const result<routed_orders> &done) {
+            if (!failed(done))
+                answers[id].push_back(valueOf(done).orders);
+        });
+        timers.advance(milliseconds {10});
+    }
+
+    // Sends a report of an idle worker whose answer is held by the follower.
+    void sendIdle(const std::string &id)
+    {
+        send(leader.report(id)); // the follower learns that the leader accepts polls
+        answers.clear();
+        send(leader.report(id));
+        CHECK_TRUE(answers.empty());
+        CHECK_EQUAL(1, followerRouter.heldCount());
+    }
+};
+
+// Guards against a start that waits for the next heartbeat of an idle worker.
+TEST(HeldReports, idleWorkerIsStartedWithoutAnotherHeartbeat)
+{
+    sendIdle("w1");
+    leader.submit("/q1/a", leader_fixture::tasks(1, 8));
+    advance(60);
+    CHECK_EQUAL(1, answers["w1"].size());
+    CHECK_EQUAL(1, answers["w1"].front().starts.size());
+    CHECK_TRUE(answers["w1"].front().leaseMs > 0);
+}
+
+// Guards against the same for a worker that reports to the leader itself.
+TEST(HeldReports, leaderHoldsAnswersToo)
+{
+    std::vector<worker_orders> direct;
+    leaderRouter.handleReport(
+            leader.now, leader.wallMs, leader.report("w1"),
+            [&](const result<routed_orders> &done) { direct.push_back(valueOf(done).orders); });
+    CHECK_TRUE(direct.empty());
+    leader.submit("/q1/a", leader_fixture::tasks(1, 8));
+    advance(60);
+    CHECK_EQUAL(1, direct.size());
+    CHECK_EQUAL(1, direct.front().starts.size());
+}
+
+// Guards against an answer that the worker has stopped waiting for.
+TEST(HeldReports, answersWithinTheTimeThatTheWorkerWaits)
+{
+    sendIdle("w1");
+    advance(700);
+    CHECK_EQUAL(1, answers["w1"].size());
+    CHECK_TRUE(answers["w1"].front().leaseMs > 0);
+}
+
+// Guards against work that goes on after it was cancelled.
+TEST(HeldReports, cancelledJobIsStoppedWithoutAnotherHeartbeat)
+{
+    send(leader.report("w1"));
+    auto step = leader_fixture::tasks(1, 1);
+    step.estimateMs = 60000;
+    leader.submit("/q1/a", step);
+    advance(60);
+    auto running = leader.report("w1");
+    running.running.push_back({{"a", 0, 0, 0}, 1, "", 1, 0});
+    answers.clear();
+    send(running);
+    CHECK_TRUE(answers.empty());
+    leader.queues.cancel(leader.wallMs, {"host", "/q1/a", ""}, [](const status &) {});
+    advance(40);
+    CHECK_EQUAL(1, answers["w1"].size());
+    CHECK_EQUAL(1, answers["w1"].front().stops.size());
+}
+
+// Guards against workers that the new leader doesn't hear from because the old one's answers are
+// still held.
+TEST(HeldReports, answersAreSentWhenTheLeadershipEnds)
+{
+    sendIdle("w1");
+    leader.workers.endTerm();
+    leaderRouter.handleLeadershipChange();
+    timers.advance(milliseconds {0});
+    CHECK_EQUAL(1, answers["w1"].size());
+    CHECK_EQUAL(0, answers["w1"].front().starts.size());
+}
+
+// Guards against heartbeats that are cut off when the node that holds their answers stops.
+TEST(HeldReports, answersAreSentWhenTheNodeStops)
+{
+    sendIdle("w1");
+    followerRouter.stopHolding();
+    CHECK_EQUAL(1, answers["w1"].size());
+    answers.clear();
+    send(leader.report("w1"));
+    CHECK_EQUAL(1, answers["w1"].size());
+}
+
+// Guards against an order that is lost with the poll that carried it.
+TEST(HeldReports, lostOrderIsRepeatedInTheNextAnswer)
+{
+    sendIdle("w1");
+    followerRouter.handleLeadershipChange(); // the node answers on its own
+    answers.clear();
+    leader.submit("/q1/a", leader_fixture::tasks(1, 8));
+    advance(60);
+    CHECK_TRUE(answers.empty());
+    send(leader.report("w1"));
+    CHECK_EQUAL(1, answers["w1"].size());
+    CHECK_EQUAL(1, answers["w1"].front().starts.size());
+}
+
+// Guards against holding answers for an older leader, which doesn't know of held answers, and
+// against treating its shorter messages as malformed.
+TEST(HeldReports, olderMessagesAreUnderstood)
+{
+    detail::report_batch batch {{leader.report("w1")}, "node:1"};
+    auto bytes = detail::encodeReports(batch);
+    bytes.resize(bytes.size() - sizeof(std::uint64_t) - batch.forwarder.size());
+    const auto reports = detail::decodeReports(bytes);
+    CHECK_FALSE(failed(reports));
+    CHECK_EQUAL(1, valueOf(reports).reports.size());
+    CHECK_TRUE(valueOf(reports).forwarder.empty());
+    detail::batch_answers answer;
+    answer.leaderAddress = "leader:1";
+    bytes = detail::encodeAnswers(answer);
+    bytes.resize(bytes.size() - sizeof(bool) - 2 * sizeof(std::uint64_t));
+    const auto decoded = detail::decodeAnswers(bytes);
+    CHECK_FALSE(failed(decoded));
+    CHECK_FALSE(valueOf(decoded).acceptsPolls);
+}
+
+// Guards against a message that ends the process: a length in it that exceeds the memory.
+TEST(HeldReports, refusesEveryCutOrAlteredMessage)
+{
+    const auto bytes = detail::encodeReports({{leader.report("w1")}, "node:1"});
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        const auto cut = detail::decodeReports(bytes.substr(0, i));
+        CHECK_TRUE(failed(cut) || valueOf(cut).forwarder.empty());
+        auto altered = bytes;
+        altered[i] = '\xff';
+        detail::decodeReports(altered); // may be valid; must not throw or allocate without bounds
+    }
+}
--- a/packages/batch/test/service-test.cc
+++ b/packages/batch/test/service-test.cc
@@ -107,3 +107,15 @@
     leader.advance(100);
     CHECK_EQUAL(0, waiting());
 }
+
+// Guards against a cancel of another job than the one that is found under the same path: ids may
+// contain a slash.
+TEST(Service, cancelsJobsWhoseIdContainsASlash)
+{
+    leader.configure(1);
+    leader.submit("/q1/a/b", leader_fixture::tasks(1, 1));
+    leader.submit("/q1/b", leader_fixture::tasks(1, 1));
+    leader.queues.cancel(leader.wallMs, {"host", "/q1/a/b", ""}, [](const status &) {});
+    CHECK_TRUE(leader.stateOf("a/b") == job_state::Cancelled);
+    CHECK_TRUE(leader.stateOf("b") == job_state::Queued);
+}
