Keep idle workers for urgent tasks that need whole ones, lighten the pass, and survive unexpected errors

A pass copied the ids, labels and progress of all workers. In the event loop, an exception in posted work stopped all later posted work, and one in a timer stopped all timers: the process lived on and served nothing. A leader that was paused between a commit and its completion sent orders without asking whether its lease still held. A heartbeat from before a worker's departure put the worker in use again.

Changes. urgent_reserve keeps as many idle workers from other work as urgent units took whole ones in a second, at least the largest unit, unless half of the fleet is free; idle workers are taken from racks with few of them. The ledger keeps what is used on each worker; the pass reads reports in place. The loop logs exceptions and goes on; a request whose handler fails gets an answer. The controller asks for its lease before orders go out after a commit.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -71,6 +71,10 @@
 
     bool isLeading() const { return term_ != 0; }
 
+    // Sets the function that tells whether this leader may still act. It is asked before orders are
+    // sent after a commit, because the process may have been paused meanwhile.
+    void setPermission(std::function<bool()> mayAct) { mayAct_ = std::move(mayAct); }
+
     // Sets the function that is called with orders for a worker whose answer is held.
     void onOrdersReady(orders_ready_function ready) { ordersReady_ = std::move(ready); }
 
@@ -167,6 +171,7 @@
     std::optional<worker_orders> refuse(const worker_report &report, time_point now) const;
     worker_state &recordHeartbeat(time_point now, std::int64_t wallMs, const worker_report &report);
     void resetTermState();
+    bool isFromBeforeDeparture(const worker_state &worker, const worker_report &report) const;
     bool isLate(const worker_state &worker, const worker_report &report, time_point now) const;
     void updateClockOffset(worker_state &worker, time_point now, std::int64_t wallMs,
                            bool first) const;
@@ -205,6 +210,7 @@
                            const std::vector<worker_incarnation> &asked, milliseconds valid);
     void removeExpired(time_point now, std::int64_t wallMs);
     void removeGoneWorkers(time_point now);
+    std::optional<run_progress> progressOf(const assignment &run) const;
     std::vector<worker_view> viewWorkers(time_point now) const;
 
     const ledger &state_;
@@ -216,6 +222,7 @@
     std::map<std::string, worker_state> workers_;
     std::map<std::string, std::string> byAddress_; // newest worker at each address
     std::set<std::string> cordonedMachines_;
+    std::function<bool()> mayAct_ = [] { return true; };
     orders_ready_function ordersReady_ = [](const std::string &, const worker_orders &) {};
     time_point now_ {}; // time of the newest heartbeat or tick
     std::set<std::string> ordersDue_; // workers for which orders may have become ready
--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -211,8 +211,15 @@
     // Returns the active runs of all incarnations of a worker, by task.
     const std::map<task_id, assignment> &runsOn(const std::string &worker) const;
 
-    // Returns all workers with active runs.
-    std::vector<std::string> busyWorkers() const;
+    // The active runs of all incarnations of a worker, and what they take from its capacity.
+    struct worker_runs
+    {
+        std::map<task_id, assignment> runs;
+        amount used;
+    };
+
+    // Returns the workers with active runs, ordered by id.
+    const std::map<std::string, worker_runs> &busyWorkers() const { return runs_; }
 
     // Returns the number of open jobs of a queue for which no run was ever ordered.
     std::size_t waitingJobs(std::string_view queueName) const;
@@ -243,13 +250,16 @@
     void rebuildIndexes();
     task_state *findTask(const task_id &id);
 
+    void addRun(const assignment &run, const step_spec &spec);
+    void removeRun(const std::string &worker, const task_id &task, const step_spec &spec);
+
     configuration configuration_;
     std::map<std::string, job_record> jobs_;
     std::map<std::uint64_t, wave_record> waves_;
     std::function<void(const ledger_event &)> observer_ = [](const ledger_event &) {};
 
     // Indexes derived from the jobs.
-    std::map<std::string, std::map<task_id, assignment>> runs_;
+    std::map<std::string, worker_runs> runs_; // workers with active runs
     std::map<std::string, std::size_t> activeRuns_; // by job
     std::set<std::string> openJobs_; // jobs that are not ended or have active runs
 };
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -3,7 +3,10 @@
 #include "base/clock.h"
 #include "batch/advice.h"
 #include "batch/ledger.h"
+#include "batch/urgent_reserve.h"
+#include "batch/worker.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -16,12 +19,7 @@
 // A worker as seen by the scheduler.
 struct worker_view
 {
-    std::string id;
-    std::int64_t incarnation = 0;
-    std::string pool;
-    std::string rack;
-    std::vector<std::string> labels;
-    amount capacity;
+    const worker_report *report = nullptr; // newest report; must outlive the view
     // Expected time until the next heartbeat. Orders are sent with the answer to it.
     milliseconds untilHeartbeat {0};
     int penalty = 0; // 0: no recent failures; workers with higher values are used last
@@ -36,11 +34,14 @@
     std::uint32_t percent = 0;
 };
 
+// Returns the progress of a run, or nothing if its worker hasn't reported it.
+using progress_function = std::function<std::optional<run_progress>(const assignment &)>;
+
 struct schedule_input
 {
     const ledger *state = nullptr;
-    std::vector<worker_view> workers;
-    const std::map<task_id, run_progress> *progress = nullptr;
+    std::vector<worker_view> workers; // ordered by id
+    progress_function progress;
     const std::set<std::pair<task_id, std::uint32_t>> *stopping = nullptr; // runs being stopped
     const advice_cache *advice = nullptr;
     time_point now {};
@@ -86,8 +87,12 @@
 public:
     schedule_output plan(const schedule_input &input);
 
-    // Drops all claims. Called when a term begins.
-    void reset() { claims_.clear(); }
+    // Drops all claims and the reserve. Called when a term begins.
+    void reset()
+    {
+        claims_.clear();
+        reserve_.reset();
+    }
 
 private:
     // Resources reserved for a unit of priority 0 while the runs that occupy them are being
@@ -103,6 +108,7 @@
     void dropClaims(const schedule_input &input);
 
     std::map<task_id, claim> claims_;
+    urgent_reserve reserve_;
 };
 
 } // namespace persimmon::batch
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -53,16 +53,19 @@
     const auto lease = milliseconds {
             static_cast<std::int64_t>(static_cast<double>(options_.lease.count()) * maxClockRatio)};
     std::vector<run_end> ends;
-    for (const auto &worker : state_.busyWorkers()) {
-        const auto found = workers_.find(worker);
-        const bool isKnown = found != workers_.end();
+    // Workers and busy workers are both ordered by id.
+    auto found = workers_.begin();
+    for (const auto &[worker, active] : state_.busyWorkers()) {
+        while (found != workers_.end() && found->first < worker)
+            ++found;
+        const bool isKnown = found != workers_.end() && found->first == worker;
         const bool gone
                 = isKnown && found->second.leftAt && *found->second.leftAt + leaveGracePeriod < now;
         const auto lastHeartbeat
                 = isKnown ? found->second.lastHeartbeat : termStart_ + options_.leaderLease;
         if (!gone && lastHeartbeat + lease + leaseMargin > now)
             continue;
-        for (const auto &[task, run] : state_.runsOn(worker)) {
+        for (const auto &[task, run] : active.runs) {
             if (!committingEnds_.insert(task).second)
                 continue;
             std::string checkpoint;
@@ -190,15 +193,11 @@
 std::vector<worker_view> controller::viewWorkers(time_point now) const
 {
     std::vector<worker_view> views;
+    views.reserve(workers_.size());
     std::size_t quarantinedCount = 0;
     for (const auto &[id, worker] : workers_) {
-        worker_view view;
-        view.id = id;
-        view.incarnation = worker.report.incarnation;
-        view.pool = worker.report.pool;
-        view.rack = worker.report.rack;
-        view.labels = worker.report.labels;
-        view.capacity = worker.report.capacity;
+        auto &view = views.emplace_back();
+        view.report = &worker.report;
         view.untilHeartbeat = worker.held && worker.held->until > now
                 ? milliseconds {0}
                 : std::max(milliseconds {0},
@@ -210,13 +209,12 @@
                 : static_cast<int>(std::min<std::size_t>(2, worker.failedJobs.size()));
         view.trusted = worker.failedJobs.empty() && !isQuarantined;
         view.schedulable = isSchedulable(worker, now) && !isQuarantined;
-        views.push_back(std::move(view));
     }
     // If more than half of the workers are in quarantine, the cause is unlikely to be the workers,
     // so quarantine is ignored.
     if (quarantinedCount * 2 > views.size()) {
         for (auto &view : views) {
-            const auto &worker = workers_.at(view.id);
+            const auto &worker = workers_.at(view.report->id);
             view.schedulable = isSchedulable(worker, now);
             view.trusted = true;
         }
@@ -224,6 +222,17 @@
     return views;
 }
 
+std::optional<run_progress> controller::progressOf(const assignment &run) const
+{
+    const auto worker = workers_.find(run.worker);
+    if (worker == workers_.end())
+        return std::nullopt;
+    const auto tracked = worker->second.runs.find(run.task);
+    if (tracked == worker->second.runs.end() || tracked->second.run != run.run)
+        return std::nullopt;
+    return run_progress {tracked->second.started, tracked->second.percent};
+}
+
 void controller::schedule(time_point now, std::int64_t wallMs)
 {
     if (committing_)
@@ -239,15 +248,10 @@
         });
         return;
     }
-    std::map<task_id, run_progress> progress;
-    for (const auto &[id, worker] : workers_) {
-        for (const auto &[task, tracked] : worker.runs)
-            progress[task] = {tracked.started, tracked.percent};
-    }
     schedule_input input;
     input.state = &state_;
     input.workers = viewWorkers(now);
-    input.progress = &progress;
+    input.progress = [this](const assignment &run) { return progressOf(run); };
     input.stopping = &stopping_;
     input.advice = &advice_;
     input.now = now;
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -105,6 +105,17 @@
             < std::pair(worker.report.incarnation, worker.report.sequence);
 }
 
+// Returns whether a worker sent a heartbeat before it announced its departure, although the
+// heartbeat arrived later. A departed worker must not be used again because of it.
+bool controller::isFromBeforeDeparture(const worker_state &worker,
+                                       const worker_report &report) const
+{
+    if (!worker.leftAt || worker.report.incarnation != report.incarnation || report.clockMs == 0)
+        return false;
+    const auto sentMs = report.clockMs + worker.clockOffsetMs;
+    return sentMs <= millisecondsOf(worker.leftAt->time_since_epoch());
+}
+
 // Returns an answer without a lease for a heartbeat that is older than the newest one or was
 // delayed in transit.
 std::optional<worker_orders> controller::refuse(const worker_report &report, time_point now) const
@@ -112,7 +123,8 @@
     const auto found = workers_.find(report.id);
     if (found == workers_.end())
         return std::nullopt;
-    const bool stale = isStale(found->second, report);
+    const bool stale
+            = isStale(found->second, report) || isFromBeforeDeparture(found->second, report);
     if (!stale && !isLate(found->second, report, now))
         return std::nullopt;
     logEvent(stale ? "worker.stale_heartbeat" : "worker.late_heartbeat",
@@ -143,7 +155,8 @@
                ackedUpTo, done, mode, alive = std::weak_ptr<int>(alive_)](const status &committed) {
                   if (failed(committed))
                       return done(errorOf(committed));
-                  const auto current = alive.expired() ? workers_.end() : workers_.find(id);
+                  const bool leads = !alive.expired() && mayAct_();
+                  const auto current = leads ? workers_.find(id) : workers_.end();
                   if (current == workers_.end())
                       return done(error {result_code::NotLeader,
                                          "leadership ended before the heartbeat was answered",
@@ -531,6 +544,8 @@
 // Sends orders that have become ready to the workers whose answers are held.
 void controller::sendReadyOrders()
 {
+    if (ordersDue_.empty() || !mayAct_())
+        return;
     for (const auto &id : std::exchange(ordersDue_, {})) {
         const auto found = workers_.find(id);
         if (found == workers_.end() || !found->second.held || found->second.held->until <= now_)
--- a/packages/batch/src/ledger.cc
+++ b/packages/batch/src/ledger.cc
@@ -100,17 +100,24 @@
 {
     static const std::map<task_id, assignment> none;
     const auto found = runs_.find(worker);
-    return found == runs_.end() ? none : found->second;
+    return found == runs_.end() ? none : found->second.runs;
 }
 
-std::vector<std::string> ledger::busyWorkers() const
+void ledger::addRun(const assignment &run, const step_spec &spec)
 {
-    std::vector<std::string> names;
-    for (const auto &[worker, runs] : runs_) {
-        if (!runs.empty())
-            names.push_back(worker);
-    }
-    return names;
+    auto &at = runs_[run.worker];
+    if (at.runs.insert_or_assign(run.task, run).second)
+        at.used += spec.charged();
+}
+
+void ledger::removeRun(const std::string &worker, const task_id &task, const step_spec &spec)
+{
+    const auto found = runs_.find(worker);
+    if (found == runs_.end() || found->second.runs.erase(task) == 0)
+        return;
+    found->second.used -= spec.charged();
+    if (found->second.runs.empty())
+        runs_.erase(found);
 }
 
 std::size_t ledger::waitingJobs(std::string_view queueName) const
@@ -190,7 +197,7 @@
     if (job.state == job_state::Queued)
         observer_({ledger_event_kind::JobBegun, &job, {}});
     job.state = job_state::Running;
-    runs_[run.worker][run.task] = run;
+    addRun(run, job.spec.steps[run.task.step]);
     ++activeRuns_[job.id];
 }
 
@@ -210,7 +217,7 @@
     const auto &spec = job.spec.steps[value.task.step];
     task->active = false;
     --step.activeCount;
-    runs_[task->worker].erase(value.task);
+    removeRun(task->worker, value.task, spec);
     if (--activeRuns_[job.id] == 0) {
         activeRuns_.erase(job.id);
         if (job.ended())
@@ -335,8 +342,8 @@
                     if (!tasks[i].active)
                         continue;
                     const task_id task {id, k, s, i};
-                    runs_[tasks[i].worker][task]
-                            = {task, tasks[i].run, tasks[i].worker, tasks[i].incarnation};
+                    addRun({task, tasks[i].run, tasks[i].worker, tasks[i].incarnation},
+                           job.spec.steps[s]);
                     ++activeRuns_[id];
                 }
             }
--- a/packages/batch/src/preemption.cc
+++ b/packages/batch/src/preemption.cc
@@ -25,7 +25,7 @@
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::size_t> gangs;
     std::map<step_key, std::int64_t> disruptions; // disruptions still allowed
     for (std::size_t i = 0; i < input_.workers.size(); ++i) {
-        for (const auto &[task, run] : input_.state->runsOn(input_.workers[i].id)) {
+        for (const auto &[task, run] : input_.state->runsOn(reportOf(i).id)) {
             const auto &job = *input_.state->findJob(task.job);
             const auto &spec = job.spec.steps[task.step];
             if (job.ended() || job.taskOf(task).done || input_.stopping->contains({task, run.run}))
@@ -55,7 +55,7 @@
             item.runs.push_back(run);
             const bool lastResort = urgent || spec.longRunning;
             const auto stopCostSeconds
-                    = lastResort ? lastResortPenaltySeconds : lostSeconds(task, spec);
+                    = lastResort ? lastResortPenaltySeconds : lostSeconds(run, spec);
             item.cost += coreSeconds(spec.need, stopCostSeconds + stopPenaltySeconds);
             auto &workerVictims = victimsOn_[i];
             if (workerVictims.empty() || workerVictims.back() != victimIndex)
@@ -68,13 +68,12 @@
 }
 
 // Returns the working time that is lost if a run is stopped.
-double scheduler::pass::lostSeconds(const task_id &task, const step_spec &spec) const
+double scheduler::pass::lostSeconds(const assignment &run, const step_spec &spec) const
 {
-    const auto progress = input_.progress->find(task);
-    if (progress == input_.progress->end())
+    const auto progress = input_.progress(run);
+    if (!progress)
         return 0;
-    const auto worked
-            = std::chrono::duration<double>(input_.now - progress->second.started).count();
+    const auto worked = std::chrono::duration<double>(input_.now - progress->started).count();
     return spec.checkpointable ? std::min(worked, static_cast<double>(input_.checkpointMs) / 1000)
                                : worked;
 }
@@ -83,9 +82,10 @@
 bool scheduler::pass::isAvailable(const task_id &task) const
 {
     const auto &state = input_.state->findJob(task.job)->taskOf(task);
-    const auto progress = input_.progress->find(task);
-    return state.active && progress != input_.progress->end() && progress->second.percent >= 100
-            && !input_.stopping->contains({task, state.run});
+    if (!state.active || input_.stopping->contains({task, state.run}))
+        return false;
+    const auto progress = input_.progress({task, state.run, state.worker, state.incarnation});
+    return progress && progress->percent >= 100;
 }
 
 // Urgent and long-running work is preempted only for work within a reservation. Urgent work is
@@ -198,7 +198,7 @@
     auto &claimed = claims_[item.first];
     claimed.createdAt = input_.now;
     for (const auto &option : best) {
-        claimed.resources[input_.workers[option.worker].id] += item.spec->charged();
+        claimed.resources[reportOf(option.worker).id] += item.spec->charged();
         for (const auto victimIndex : option.victims) {
             auto &chosen = victims_[victimIndex];
             if (std::exchange(chosen.selected, true))
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -9,7 +9,8 @@
 namespace {
 
 // A gang that has waited this long reserves a rack: units that come after it in the pass aren't
-// placed there.
+// placed there. Other work that has waited this long uses idle workers that are kept for urgent
+// work, unless most of the fleet is in use.
 constexpr std::int64_t reserveAfterMs = 1500;
 
 constexpr std::size_t maxReservedRacks = 2;
@@ -26,11 +27,6 @@
 // Urgent work prefers workers whose next heartbeat is expected within this time.
 constexpr milliseconds soonHeartbeatLimit {250};
 
-std::string occurrenceName(const task_id &task)
-{
-    return task.job + "." + std::to_string(task.occurrence);
-}
-
 bool atLeast(const amount &left, const amount &right)
 {
     return left.cpu >= right.cpu && left.memory >= right.memory
@@ -39,44 +35,127 @@
 
 } // namespace
 
-scheduler::pass::pass(const schedule_input &input, std::map<task_id, claim> &claims)
+scheduler::pass::pass(const schedule_input &input, std::map<task_id, claim> &claims,
+                      urgent_reserve &reserve)
     : input_(input)
     , claims_(claims)
+    , reserve_(reserve)
+    , reserved_(reserve.size(input.now))
     , uses_(detail::urgentUse(*input.state))
     , available_(input.workers.size())
     , beingFreed_(input.workers.size())
-    , perStep_(input.workers.size())
     , allWorkers_(input.workers.size())
 {
     std::iota(allWorkers_.begin(), allWorkers_.end(), std::size_t {0});
+    // Workers and busy workers are both ordered by id.
+    const auto &busyWorkers = input.state->busyWorkers();
+    auto busy = busyWorkers.begin();
     for (std::size_t i = 0; i < input.workers.size(); ++i) {
-        const auto &view = input.workers[i];
-        workerIndexes_[view.id] = i;
-        racks_[view.rack].push_back(i);
-        available_[i] = view.capacity;
-        for (const auto &[task, run] : input.state->runsOn(view.id)) {
-            const auto &spec = input.state->findJob(task.job)->spec.steps[task.step];
-            available_[i] -= spec.charged();
-            if (spec.maxPerWorker > 0)
-                ++perStep_[i][{occurrenceName(task), task.step}];
-            if (!input.stopping->contains({task, run.run}))
-                continue;
-            beingFreed_[i] += spec.charged();
-            const auto &job = *input.state->findJob(task.job);
-            if (const auto use = uses_.find(job.tenant);
-                use != uses_.end() && job.source.priority == 0)
-                use->second.running -= spec.need.accelerators;
-        }
+        const auto &report = reportOf(i);
+        while (busy != busyWorkers.end() && busy->first < report.id)
+            ++busy;
+        workerIndexes_[report.id] = i;
+        racks_[report.rack].push_back(i);
+        available_[i] = report.capacity;
+        if (busy != busyWorkers.end() && busy->first == report.id)
+            available_[i] -= busy->second.used;
     }
+    for (const auto &[task, run] : *input.stopping)
+        recordStopping(task, run);
+    amount capacity;
+    amount available;
+    for (std::size_t i = 0; i < input.workers.size(); ++i) {
+        if (isIdle(i))
+            countIdle(i, 1);
+        capacity += reportOf(i).capacity;
+        available += available_[i];
+    }
+    fleetInUse_ = available.cpu * 2 < capacity.cpu
+            && available.accelerators * 2 < capacity.accelerators;
     for (const auto &[id, item] : claims_)
         applyClaim(item, 1);
 }
 
+// Returns whether a worker may get tasks and all of its accelerators are free.
+bool scheduler::pass::isIdle(std::size_t worker) const
+{
+    const auto accelerators = reportOf(worker).capacity.accelerators;
+    return input_.workers[worker].schedulable && accelerators > 0
+            && available_[worker].accelerators == accelerators;
+}
+
+void scheduler::pass::countIdle(std::size_t worker, int change)
+{
+    idle_ += static_cast<std::size_t>(change);
+    idleInRack_[reportOf(worker).rack] += static_cast<std::size_t>(change);
+}
+
+// Takes resources of a worker, or returns them if they are negative.
+void scheduler::pass::take(std::size_t worker, const amount &resources)
+{
+    const auto change = isIdle(worker) ? -1 : 0;
+    available_[worker] -= resources;
+    countIdle(worker, change + (isIdle(worker) ? 1 : 0));
+}
+
+bool scheduler::pass::takesWholeWorker(const unit &item, std::size_t worker) const
+{
+    return item.spec->need.accelerators * 2 > reportOf(worker).capacity.accelerators;
+}
+
+// Work must not wait for long beside idle workers of a fleet that is mostly idle.
+bool scheduler::pass::mayUseReserve(const unit &item) const
+{
+    return item.job->source.priority == 0
+            || (!fleetInUse_ && input_.wallMs >= item.job->acceptedMs + reserveAfterMs);
+}
+
+// Removes idle workers, which come last, that are kept for urgent work.
+void scheduler::pass::keepReserve(const unit &item, std::vector<std::size_t> &from) const
+{
+    if (reserved_ == 0 || mayUseReserve(item))
+        return;
+    auto allowed = idle_ - std::min(idle_, reserved_);
+    std::erase_if(from, [&](std::size_t worker) {
+        if (!isIdle(worker))
+            return false;
+        if (allowed == 0)
+            return true;
+        --allowed;
+        return false;
+    });
+}
+
+void scheduler::pass::recordStopping(const task_id &task, std::uint32_t run)
+{
+    const auto *job = input_.state->findJob(task.job);
+    if (job == nullptr || !job->taskOf(task).active || job->taskOf(task).run != run)
+        return;
+    const auto &spec = job->spec.steps[task.step];
+    if (const auto found = workerIndexes_.find(job->taskOf(task).worker);
+        found != workerIndexes_.end())
+        beingFreed_[found->second] += spec.charged();
+    if (const auto use = uses_.find(job->tenant); use != uses_.end() && job->source.priority == 0)
+        use->second.running -= spec.need.accelerators;
+}
+
+// Returns the number of tasks of a step that are active on a worker or started in this pass.
+std::uint32_t scheduler::pass::activeOn(std::size_t worker, const step_key &step) const
+{
+    const auto &runs = input_.state->runsOn(reportOf(worker).id);
+    const auto started = startedOn_.find({worker, step});
+    auto count = started == startedOn_.end() ? 0U : started->second;
+    for (auto item = runs.lower_bound({step.job, step.occurrence, step.step, 0});
+         item != runs.end() && stepOf(item->first) == step; ++item)
+        ++count;
+    return count;
+}
+
 void scheduler::pass::applyClaim(const claim &item, int sign)
 {
     for (const auto &[worker, resources] : item.resources) {
         if (const auto found = workerIndexes_.find(worker); found != workerIndexes_.end())
-            available_[found->second] -= resources * sign;
+            take(found->second, resources * sign);
     }
 }
 
@@ -150,21 +229,23 @@
 bool scheduler::pass::isEligible(const unit &item, std::size_t worker) const
 {
     const auto &view = input_.workers[worker];
-    if (!view.schedulable || view.pool != item.job->source.pool
+    const auto &report = *view.report;
+    if (!view.schedulable || report.pool != item.job->source.pool
         || (item.lastAttempt && !view.trusted))
         return false;
     if (!item.avoidedWorkers.empty()
-        && std::ranges::find(item.avoidedWorkers, view.id) != item.avoidedWorkers.end())
+        && std::ranges::find(item.avoidedWorkers, report.id) != item.avoidedWorkers.end())
         return false;
     return item.spec->requiredLabel.empty()
-            || std::ranges::find(view.labels, item.spec->requiredLabel) != view.labels.end();
+            || std::ranges::find(report.labels, item.spec->requiredLabel) != report.labels.end();
 }
 
 bool scheduler::pass::hasTicket(const unit &item, std::size_t worker) const
 {
-    const auto &view = input_.workers[worker];
+    const auto &report = reportOf(worker);
     return item.job->source.adviceValidMs == 0
-            || input_.advice->find(detail::stepKeyOf(item), view.id, view.incarnation, input_.now)
+            || input_.advice->find(detail::stepKeyOf(item), report.id, report.incarnation,
+                                   input_.now)
             != nullptr;
 }
 
@@ -176,9 +257,9 @@
     const auto step = detail::stepKeyOf(item);
     std::vector<std::size_t> unasked;
     for (const auto worker : allWorkers_) {
-        const auto &view = input_.workers[worker];
-        if (isEligible(item, worker) && timesFitting(view.capacity, need) > 0
-            && !input_.advice->isKnown(step, view.id, view.incarnation, input_.now))
+        const auto &report = reportOf(worker);
+        if (isEligible(item, worker) && timesFitting(report.capacity, need) > 0
+            && !input_.advice->isKnown(step, report.id, report.incarnation, input_.now))
             unasked.push_back(worker);
     }
     std::ranges::stable_sort(unasked, std::greater<> {}, [&](std::size_t worker) {
@@ -194,7 +275,7 @@
     auto &want = output_.advice.emplace_back();
     want.step = step;
     for (const auto worker : unasked)
-        want.workers.push_back(input_.workers[worker].id);
+        want.workers.push_back(reportOf(worker).id);
 }
 
 // Returns the eligible workers with enough free resources for at least one task, best first.
@@ -206,17 +287,19 @@
     std::vector<std::size_t> found;
     for (const auto worker : from) {
         if (timesFitting(available_[worker], need) > 0 && isEligible(item, worker)
-            && hasTicket(item, worker) && !reservedRacks_.contains(workers[worker].rack))
+            && hasTicket(item, worker) && !reservedRacks_.contains(reportOf(worker).rack))
             found.push_back(worker);
     }
     const auto &rack = item.spec->preferredRack;
     std::ranges::stable_sort(found, {}, [&](std::size_t worker) {
-        const auto &view = workers[worker];
-        const bool notPreferred
-                = !rack.empty() && std::ranges::find(view.labels, rack) == view.labels.end();
-        return std::tuple(notPreferred, view.penalty, heartbeatRank(item, worker),
-                          available_[worker].accelerators, available_[worker].cpu);
+        const auto &labels = reportOf(worker).labels;
+        const bool notPreferred = !rack.empty() && std::ranges::find(labels, rack) == labels.end();
+        // Idle workers are taken from racks that have few of them, which keeps whole racks free.
+        const auto idle = isIdle(worker) ? idleInRack_.at(reportOf(worker).rack) : 0;
+        return std::tuple(notPreferred, workers[worker].penalty, heartbeatRank(item, worker),
+                          available_[worker].accelerators, idle, available_[worker].cpu);
     });
+    keepReserve(item, found);
     return found;
 }
 
@@ -238,10 +321,8 @@
     for (const auto worker : from) {
         auto times = timesFitting(available_[worker], need);
         if (item.spec->maxPerWorker > 0) {
-            const auto &counts = perStep_[worker];
-            const auto active = counts.find({occurrenceName(item.first), item.first.step});
-            const auto used = active == counts.end() ? 0U : active->second;
-            times = std::min<std::int64_t>(times, std::int64_t {item.spec->maxPerWorker} - used);
+            const auto active = activeOn(worker, detail::stepKeyOf(item));
+            times = std::min<std::int64_t>(times, std::int64_t {item.spec->maxPerWorker} - active);
         }
         for (; times > 0 && slots.size() < item.indexes.size(); --times)
             slots.push_back({worker, item.indexes[slots.size()]});
@@ -270,7 +351,7 @@
         for (const auto worker : members) {
             if (!isEligible(item, worker))
                 continue;
-            maxTasks += timesFitting(workers[worker].capacity, need);
+            maxTasks += timesFitting(reportOf(worker).capacity, need);
             freeTasks += timesFitting(available_[worker], need);
             freeAccelerators += std::max<std::int64_t>(0, available_[worker].accelerators);
         }
@@ -320,15 +401,20 @@
     };
     for (const auto &place : slots)
         newest = std::max(newest, item.job->taskOf(idOf(place)).run);
+    std::size_t wholeWorkers = 0;
     for (const auto &place : slots) {
         const auto id = idOf(place);
-        const auto &view = input_.workers[place.worker];
+        const auto &report = reportOf(place.worker);
         const auto earlier = item.spec->gang ? newest : item.job->taskOf(id).run;
-        output_.starts.push_back({id, earlier + 1, view.id, view.incarnation});
-        available_[place.worker] -= item.spec->charged();
+        output_.starts.push_back({id, earlier + 1, report.id, report.incarnation});
+        if (takesWholeWorker(item, place.worker))
+            ++wholeWorkers;
+        take(place.worker, item.spec->charged());
         if (item.spec->maxPerWorker > 0)
-            ++perStep_[place.worker][{occurrenceName(id), id.step}];
+            ++startedOn_[{place.worker, stepOf(id)}];
     }
+    if (item.job->source.priority == 0 && wholeWorkers > 0)
+        reserve_.recordTaken(input_.now, wholeWorkers);
 }
 
 // Reserves the rack with the most free accelerators for a gang that could not be placed.
@@ -337,7 +423,7 @@
     if (reservedRacks_.size() >= maxReservedRacks
         || input_.wallMs < item.job->acceptedMs + reserveAfterMs)
         return;
-    const std::string *best = nullptr;
+    const std::string_view *best = nullptr;
     std::int64_t maxFree = -1;
     for (const auto &[rack, members] : racks_) {
         if (reservedRacks_.contains(rack))
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -10,7 +10,7 @@
 class scheduler::pass
 {
 public:
-    pass(const schedule_input &input, std::map<task_id, claim> &claims);
+    pass(const schedule_input &input, std::map<task_id, claim> &claims, urgent_reserve &reserve);
 
     schedule_output run();
 
@@ -59,6 +59,12 @@
     std::vector<std::size_t> candidates(const unit &item,
                                         const std::vector<std::size_t> &from) const;
     std::vector<slot> fillWorkers(const unit &item, const std::vector<std::size_t> &from) const;
+    bool isIdle(std::size_t worker) const;
+    bool takesWholeWorker(const unit &item, std::size_t worker) const;
+    bool mayUseReserve(const unit &item) const;
+    void keepReserve(const unit &item, std::vector<std::size_t> &from) const;
+    void countIdle(std::size_t worker, int change);
+    void take(std::size_t worker, const amount &resources);
     std::int64_t heartbeatRank(const unit &item, std::size_t worker) const;
     bool isEligible(const unit &item, std::size_t worker) const;
     bool isDominated(const unit &item) const;
@@ -68,12 +74,18 @@
     void start(const unit &item, const std::vector<slot> &slots);
     void reserveRack(const unit &item);
     void applyClaim(const claim &item, int sign);
+    void recordStopping(const task_id &task, std::uint32_t run);
+    std::uint32_t activeOn(std::size_t worker, const step_key &step) const;
+    const worker_report &reportOf(std::size_t worker) const
+    {
+        return *input_.workers[worker].report;
+    }
 
     // preemption.cc
     void collectVictims();
     bool preempt(const unit &item);
     bool mayPreempt(const unit &item, const victim &candidate) const;
-    double lostSeconds(const task_id &task, const step_spec &spec) const;
+    double lostSeconds(const assignment &run, const step_spec &spec) const;
     bool isAvailable(const task_id &task) const;
     std::vector<placement_option> placementOptions(const unit &item, std::size_t worker) const;
     std::vector<placement_option> cheapestPlacement(const unit &item,
@@ -81,15 +93,21 @@
 
     const schedule_input &input_;
     std::map<task_id, claim> &claims_;
+    urgent_reserve &reserve_;
+    std::size_t reserved_; // idle workers that only urgent work may use
     std::map<std::string, detail::urgent_use> uses_; // by tenant
     std::vector<amount> available_; // by worker; negative if claimed resources are not free yet
     std::vector<amount> beingFreed_; // resources of runs that are being stopped, by worker
-    std::vector<std::map<std::pair<std::string, std::uint32_t>, std::uint32_t>>
-            perStep_; // by worker: tasks of (job and occurrence, step)
-    std::unordered_map<std::string, std::size_t> workerIndexes_;
-    std::map<std::string, std::vector<std::size_t>> racks_;
+    std::map<std::pair<std::size_t, step_key>, std::uint32_t>
+            startedOn_; // by worker and step with a limit for each worker: tasks started in this
+                        // pass
+    std::unordered_map<std::string_view, std::size_t> workerIndexes_;
+    std::map<std::string_view, std::vector<std::size_t>> racks_;
     std::vector<std::size_t> allWorkers_;
-    std::set<std::string> reservedRacks_;
+    std::map<std::string_view, std::size_t> idleInRack_; // workers without any task
+    std::size_t idle_ = 0; // schedulable workers without any task
+    bool fleetInUse_ = false; // more than half of the processors and of the accelerators
+    std::set<std::string_view> reservedRacks_;
     std::vector<unplaceable_need> unplaceableNeeds_;
     std::vector<victim> victims_;
     std::vector<std::vector<std::size_t>> victimsOn_; // by worker
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -88,7 +88,8 @@
              ++stepIndex) {
             const auto &spec = job.spec.steps[stepIndex];
             const auto &step = job.occurrences[occurrence][stepIndex];
-            if (step.done() || !isReady(job, occurrence, spec))
+            if (step.doneCount + step.activeCount >= step.tasks.size()
+                || !isReady(job, occurrence, spec))
                 continue;
             unit base;
             base.job = &job;
--- a/packages/batch/test/controller-test.cc
+++ b/packages/batch/test/controller-test.cc
@@ -307,6 +307,71 @@
     }
 }
 
+// Guards against a leader that was paused while an end was being committed and then answers with
+// orders, although another leader may have been elected meanwhile.
+TEST(Controller, sendsNoOrdersAfterItsLeaseHasRunOut)
+{
+    bool mayAct = true;
+    leader.workers.setPermission([&] { return mayAct; });
+    auto ended = startOnWorker(leader_fixture::tasks(1, 1));
+    leader.submit("/q1/b", leader_fixture::tasks(1, 1));
+    leader.advance(100);
+    ended.running.clear();
+    ended.ended.push_back({1, {"a", 0, 0, 0}, 1, end_kind::Done, ""});
+    ended.sequence = ++leader.sequence;
+    leader.holdCommits = true;
+    result<worker_orders> outcome = worker_orders {};
+    leader.workers.heartbeat(leader.now, leader.wallMs, ended,
+                             [&](const result<worker_orders> &done) { outcome = done; });
+    mayAct = false;
+    leader.releaseHeld();
+    CHECK_TRUE(failed(outcome) && errorOf(outcome).code == result_code::NotLeader);
+}
+
+// Guards against the same for an answer that is held until a start is committed.
+TEST(Controller, releasesNoHeldAnswerAfterItsLeaseHasRunOut)
+{
+    bool mayAct = true;
+    int released = 0;
+    leader.workers.setPermission([&] { return mayAct; });
+    leader.workers.onOrdersReady([&](const std::string &, const worker_orders &) { ++released; });
+    leader.configure(1);
+    leader.workers.heartbeat(
+            leader.now, leader.wallMs, leader.report("w1"), [](const result<worker_orders> &) {},
+            answer_mode::MayBeHeld);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.holdCommits = true;
+    leader.advance(100);
+    mayAct = false;
+    leader.releaseHeld();
+    CHECK_EQUAL(0, released);
+}
+
+// Guards against placing work on a worker that has left, because a heartbeat from before its
+// departure arrived after it.
+TEST(Controller, ignoresHeartbeatFromBeforeTheDeparture)
+{
+    leader.configure(1);
+    auto report = leader.report("w1");
+    report.incarnation = leader.wallMs - 5000;
+    report.clockMs = 5000;
+    leader.sendHeartbeat(report);
+    leader.advance(200);
+    leader.workers.handleDeparture(leader.now, "w1");
+    auto delayed = report;
+    delayed.sequence = ++leader.sequence;
+    delayed.clockMs = 5100;
+    leader.advance(100);
+    CHECK_EQUAL(0, leader.sendHeartbeat(delayed).leaseMs);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.advance(100);
+    CHECK_EQUAL(0, leader.state.runsOn("w1").size());
+    // A worker that reports after its announcement is in use again.
+    delayed.sequence = ++leader.sequence;
+    delayed.clockMs = 5400;
+    CHECK_EQUAL(5000, leader.sendHeartbeat(delayed).leaseMs);
+}
+
 // Guards against a worker that waits for its whole heartbeat period after a heartbeat that came too
 // late.
 TEST(Controller, asksForANewHeartbeatAfterALateOne)
--- a/packages/batch/test/scheduler-test.cc
+++ b/packages/batch/test/scheduler-test.cc
@@ -285,3 +285,78 @@
     STRCMP_EQUAL("early", slowHeartbeats.state.findJob("a")->taskOf({"a", 0, 0, 0}).worker.c_str());
     STRCMP_EQUAL("late", slowHeartbeats.state.findJob("b")->taskOf({"b", 0, 0, 0}).worker.c_str());
 }
+
+TEST_GROUP(UrgentReserve)
+{
+    urgent_reserve reserve;
+    time_point now {std::chrono::seconds {100}};
+
+    void take(std::size_t workers, int everyMs, int forMs)
+    {
+        for (int ms = 0; ms < forMs; ms += everyMs) {
+            now += milliseconds {everyMs};
+            reserve.recordTaken(now, workers);
+        }
+    }
+};
+
+// Guards against idle workers that are kept although no urgent work needs whole workers.
+TEST(UrgentReserve, keepsNothingWithoutDemand)
+{
+    CHECK_EQUAL(0, reserve.size(now));
+    take(8, 250, 4000);
+    CHECK_TRUE(reserve.size(now) > 0);
+    now += milliseconds {10000};
+    CHECK_EQUAL(0, reserve.size(now));
+}
+
+// Guards against a reserve that doesn't follow the demand: 32 workers a second.
+TEST(UrgentReserve, coversTheDemandOfASecond)
+{
+    take(8, 250, 8000);
+    CHECK_TRUE(reserve.size(now) >= 30 && reserve.size(now) <= 34);
+}
+
+// Guards against a reserve that is too small for the next job like the largest one.
+TEST(UrgentReserve, coversTheLargestUnit)
+{
+    take(8, 4000, 8000);
+    CHECK_EQUAL(8, reserve.size(now));
+}
+
+// Guards against urgent tasks that stop other work although idle workers could have been kept for
+// them: small tasks of lower priority that spread over the whole fleet, in a load in which urgent
+// jobs that need whole workers come again and again.
+TEST(Scheduler, keepsIdleWorkersForUrgentWork)
+{
+    leader.configure(0);
+    sendHeartbeats(8);
+    leader.submit("/q0/a", leader_fixture::tasks(2, 8));
+    leader.advance(100);
+    CHECK_EQUAL(2, workersOf("a").size());
+    leader.submit("/q2/b", leader_fixture::tasks(60, 1));
+    leader.advance(100);
+    CHECK_EQUAL(32, activeTasks("b"));
+    leader.submit("/q0/c", leader_fixture::tasks(2, 8));
+    leader.advance(100);
+    CHECK_EQUAL(2, workersOf("c").size());
+}
+
+// Guards against work that waits beside an idle fleet because of the reserve.
+TEST(Scheduler, usesTheReserveWhileMostOfTheFleetIsIdle)
+{
+    leader.configure(0);
+    sendHeartbeats(3);
+    leader.submit("/q0/a", leader_fixture::tasks(2, 8));
+    leader.advance(100);
+    for (std::uint32_t i = 0; i < 2; ++i)
+        leader.commit(end_runs {{{{"a", 0, 0, i}, 1, end_kind::Done, ""}}, leader.wallMs});
+    leader.submit("/q2/b", leader_fixture::tasks(3, 8));
+    leader.advance(100);
+    CHECK_EQUAL(1, activeTasks("b"));
+    for (int ms = 0; ms < 1500; ms += 300) {
+        sendHeartbeats(3);
+        leader.advance(300);
+    }
+    CHECK_TRUE(activeTasks("b") >= 2);
+}
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -206,8 +206,14 @@
         body.resize(reader.received);
         auto converted = std::make_shared<request>(toRequest(message, std::move(body)));
         loop_.post([this, message, converted] {
-            onRequest_(std::move(*converted),
-                       [message](response answer) { sendResponse(message, std::move(answer)); });
+            try {
+                onRequest_(std::move(*converted), [message](response answer) {
+                    sendResponse(message, std::move(answer));
+                });
+            } catch (const std::exception &failure) {
+                logFor("http")->error("a request failed: {}", failure.what());
+                refuse(message, {result_code::Internal, failure.what(), {}, {}});
+            }
         });
     }
 
--- a/packages/wire/include/wire/event_loop.h
+++ b/packages/wire/include/wire/event_loop.h
@@ -26,7 +26,9 @@
     // Makes run() return. Callable from any thread.
     void stop();
 
-    // Queues work to run on the loop's thread, in the order of the calls. Callable from any thread.
+    // Queues work to run on the loop's thread, in the order of the calls. An exception that it
+    // throws is logged and ends neither the loop nor other work, and the same holds for timers.
+    // Callable from any thread.
     void post(std::function<void()> work);
 
     timer_service &timers();
--- a/packages/wire/src/event_loop.cc
+++ b/packages/wire/src/event_loop.cc
@@ -6,6 +6,7 @@
 #include <kj/timer.h>
 
 #include <ctime>
+#include <exception>
 #include <mutex>
 #include <vector>
 
@@ -54,6 +55,22 @@
     std::function<void()> onChange_ = [] {};
 };
 
+// Runs a function. An exception is logged: it must not end the loop, which serves everything else.
+// Returns whether the function completed.
+template <typename Function>
+bool runGuarded(const char *what, Function &&function)
+{
+    try {
+        function();
+        return true;
+    } catch (const std::exception &failure) {
+        logFor("loop")->error("{} failed: {}", what, failure.what());
+    } catch (const kj::Exception &failure) {
+        logFor("loop")->error("{} failed: {}", what, failure.getDescription().cStr());
+    }
+    return false;
+}
+
 class task_error_handler : public kj::TaskSet::ErrorHandler
 {
 public:
@@ -126,7 +143,7 @@
             work.swap(posted_);
         }
         for (auto &item : work)
-            item();
+            runGuarded("posted work", item);
         tasks_.add(kj::evalLater([this] { rearmWake(); }));
     }
 
@@ -165,7 +182,8 @@
             return;
         armedFor_ = time_point::max();
         runningTimers_ = true;
-        timers_.advanceTo(steadyNow());
+        const auto now = steadyNow();
+        while (!runGuarded("a timer", [this, now] { timers_.advanceTo(now); })) { }
         runningTimers_ = false;
         armTimer();
     }
