Preempt with patience, send workers to a scheduler of their zone, and spread retries

Work that is too late to have value was as expensive a victim as any other. Workers stayed with the node that they found first, in whatever region. All gateways that lose their leader asked the same next node at the same moment, every 60 ms.

An urgent unit waits for half of its slack, at most 1.5 s (0.5 s within a reservation), before other work is stopped for it; if stopping can't help to meet the objective, the slack until the late limit counts (preemption_timing). The slack of a step now counts the steps behind it. Work past its final deadline is stopped first. The leader sends the workers of a large fleet to a scheduler of their zone, each at most once in 15 s (new key [instance] zone). Pauses between attempts of a call double up to 240 ms and are spread (retry_delay); nodes begin the search for the leader at random ones.

--- a/packages/batch/include/batch/report_router.h
+++ b/packages/batch/include/batch/report_router.h
@@ -17,6 +17,7 @@
 struct router_options
 {
     std::string address; // address of this node for workers
+    std::string zone {}; // availability zone of this node
     std::size_t maxDirectWorkers = 400; // a leader with more workers refers them to the other nodes
     milliseconds batchDelay {10}; // time for which reports are collected into a batch
     std::size_t batchSize = 64; // reports in a full batch, which is sent at once
@@ -85,7 +86,10 @@
         std::string node;
     };
 
-    std::string reportAddressFor(const std::string &worker) const;
+    std::string reportAddressFor(const std::string &worker, const std::string &zone) const;
+    std::vector<std::string> nodesIn(const std::string &zone) const;
+    std::string redirect(time_point now, const worker_report &report, const std::string &zone);
+    void pruneWorkers();
     void flush();
     void deliver(const std::string &answer, std::vector<pending_report> &reports);
     void poll();
@@ -107,6 +111,8 @@
     // Used while this node leads.
     order_feed feed_;
     std::map<std::string, holder> holders_; // by worker, of answers held by other nodes
+    std::map<std::string, std::string> zones_; // by address of a forwarding node
+    std::map<std::string, time_point> redirected_; // by worker: last time it was sent to its zone
 
     // Used while this node forwards reports.
     bool pollInFlight_ = false;
--- a/packages/batch/src/preemption.cc
+++ b/packages/batch/src/preemption.cc
@@ -54,8 +54,12 @@
             auto &item = victims_[victimIndex];
             item.runs.push_back(run);
             const bool lastResort = urgent || spec.longRunning;
-            const auto stopCostSeconds
-                    = lastResort ? lastResortPenaltySeconds : lostSeconds(run, spec);
+            const bool worthless = !spec.longRunning
+                    && input_.wallMs > detail::finalDeadlineMs(job, task.occurrence);
+            // Work that is too late to have value is stopped first.
+            auto stopCostSeconds = worthless ? 0 : lostSeconds(run, spec);
+            if (lastResort)
+                stopCostSeconds = lastResortPenaltySeconds;
             item.cost += coreSeconds(spec.need, stopCostSeconds + stopPenaltySeconds);
             auto &workerVictims = victimsOn_[i];
             if (workerVictims.empty() || workerVictims.back() != victimIndex)
--- a/packages/batch/src/report_codec.cc
+++ b/packages/batch/src/report_codec.cc
@@ -103,14 +103,14 @@
 
 std::string encodeReports(const report_batch &batch)
 {
-    return pack([&](auto &archive) { archive(batch.reports, batch.forwarder); });
+    return pack([&](auto &archive) { archive(batch.reports, batch.forwarder, batch.zone); });
 }
 
 std::string encodeAnswers(const batch_answers &answers)
 {
     return pack([&](auto &archive) {
         archive(answers.leaderAddress, answers.stayWithForwarder, answers.answers);
-        archive(answers.acceptsPolls, answers.holdMs, answers.released);
+        archive(answers.acceptsPolls, answers.holdMs, answers.released, answers.addresses);
     });
 }
 
@@ -119,7 +119,7 @@
     return unpack<report_batch>(bytes, [](message_archive &archive, report_batch &batch) {
         archive(batch.reports);
         if (!archive.atEnd())
-            archive(batch.forwarder);
+            archive(batch.forwarder, batch.zone);
     });
 }
 
@@ -128,7 +128,7 @@
     return unpack<batch_answers>(bytes, [](message_archive &archive, batch_answers &answers) {
         archive(answers.leaderAddress, answers.stayWithForwarder, answers.answers);
         if (!archive.atEnd())
-            archive(answers.acceptsPolls, answers.holdMs, answers.released);
+            archive(answers.acceptsPolls, answers.holdMs, answers.released, answers.addresses);
     });
 }
 
--- a/packages/batch/src/report_codec.h
+++ b/packages/batch/src/report_codec.h
@@ -16,6 +16,7 @@
 {
     std::vector<worker_report> reports;
     std::string forwarder; // address of the node if it can hold answers, otherwise empty
+    std::string zone; // availability zone of the node
 };
 
 // Answer to one report of a batch: either orders, or the code and the detail of an error.
@@ -35,6 +36,7 @@
     bool acceptsPolls = false; // the leader answers polls
     std::vector<std::int64_t> holdMs; // by report: time for which the answer may be held
     std::vector<released_answer> released; // orders for answers that the node holds
+    std::vector<std::string> addresses; // by report: node for the next reports; empty: see above
 };
 
 std::string encodeReports(const report_batch &batch);
--- a/packages/batch/src/report_router.cc
+++ b/packages/batch/src/report_router.cc
@@ -12,6 +12,12 @@
 // Time over which workers are told to spread their next heartbeats if all held answers are sent.
 constexpr milliseconds releaseSpread {300};
 
+// A worker is sent to the node in its zone at most once in this time.
+constexpr milliseconds redirectPause {15000};
+
+// Number of workers of which the router remembers something without looking for gone ones.
+constexpr std::size_t minTrackedWorkers = 64;
+
 struct pending_batch
 {
     detail::batch_answers answers;
@@ -55,12 +61,12 @@
 void report_router::handleReport(time_point now, std::int64_t wallMs, const worker_report &report,
                                  const completion &done)
 {
-    const auto answer = [this, key = keyOf(report), done,
+    const auto answer = [this, key = keyOf(report), zone = report.zone, done,
                          received = timers_.now()](const result<worker_orders> &outcome) {
         if (failed(outcome))
             return done(errorOf(outcome));
         const auto &orders = valueOf(outcome);
-        routed_orders routed {orders, reportAddressFor(key.worker)};
+        routed_orders routed {orders, reportAddressFor(key.worker, zone)};
         holders_.erase(key.worker);
         if (orders.holdMs == 0) {
             observeAnswer_(timers_.now() - received);
@@ -72,17 +78,50 @@
                        mayHold_ ? answer_mode::MayBeHeld : answer_mode::Immediate);
 }
 
-// Distributes the workers of a large fleet over the other nodes. The assignment is stable as long
-// as the set of nodes doesn't change.
-std::string report_router::reportAddressFor(const std::string &worker) const
+std::vector<std::string> report_router::nodesIn(const std::string &zone) const
+{
+    auto nodes = peers_();
+    std::erase_if(nodes, [&](const std::string &node) {
+        const auto known = zones_.find(node);
+        return known == zones_.end() || known->second != zone;
+    });
+    std::ranges::sort(nodes);
+    return nodes;
+}
+
+// Distributes the workers of a large fleet over the other nodes of their zone, or over all other
+// nodes if none of them is known to be in that zone. The assignment is stable as long as the set of
+// nodes doesn't change.
+std::string report_router::reportAddressFor(const std::string &worker,
+                                            const std::string &zone) const
 {
     if (workers_.workerCount() <= options_.maxDirectWorkers)
         return options_.address;
-    auto peers = peers_();
-    if (peers.empty())
+    auto nodes = nodesIn(zone);
+    if (nodes.empty()) {
+        nodes = peers_();
+        std::ranges::sort(nodes);
+    }
+    if (nodes.empty())
         return options_.address;
-    std::ranges::sort(peers);
-    return peers[std::hash<std::string> {}(worker) % peers.size()];
+    return nodes[std::hash<std::string> {}(worker) % nodes.size()];
+}
+
+// Returns the node in the zone of a worker that reports to a node of another zone, or nothing if it
+// should stay. A worker that came back is not sent again for a while: it may not reach that node.
+std::string report_router::redirect(time_point now, const worker_report &report,
+                                    const std::string &zone)
+{
+    if (workers_.workerCount() <= options_.maxDirectWorkers || report.zone == zone)
+        return {};
+    const auto earlier = redirected_.find(report.id);
+    if (earlier != redirected_.end() && now < earlier->second + redirectPause)
+        return {};
+    const auto nodes = nodesIn(report.zone);
+    if (nodes.empty())
+        return {};
+    redirected_[report.id] = now;
+    return nodes[std::hash<std::string> {}(report.id) % nodes.size()];
 }
 
 void report_router::handleBatch(time_point now, std::int64_t wallMs, const std::string &batch,
@@ -93,7 +132,9 @@
     const auto decoded = detail::decodeReports(batch);
     if (failed(decoded))
         return done(errorOf(decoded));
-    const auto &[reports, forwarder] = valueOf(decoded);
+    const auto &[reports, forwarder, forwarderZone] = valueOf(decoded);
+    if (!forwarder.empty())
+        zones_[forwarder] = forwarderZone;
     auto progress = std::make_shared<pending_batch>();
     progress->answers.leaderAddress = options_.address;
     progress->answers.acceptsPolls = true;
@@ -107,6 +148,7 @@
     }
     progress->answers.answers.resize(reports.size());
     progress->answers.holdMs.resize(reports.size());
+    progress->answers.addresses.resize(reports.size());
     progress->unanswered = reports.size();
     const auto finish = [this, progress, done] {
         progress->answers.stayWithForwarder = workers_.workerCount() > options_.maxDirectWorkers;
@@ -115,6 +157,11 @@
     if (reports.empty())
         return finish();
     const auto mode = modeFor(forwarder);
+    if (!forwarderZone.empty()) {
+        for (std::size_t i = 0; i < reports.size(); ++i)
+            progress->answers.addresses[i] = redirect(now, reports[i], forwarderZone);
+    }
+    pruneWorkers();
     for (std::size_t i = 0; i < reports.size(); ++i) {
         const auto answer = [this, progress, i, finish, key = keyOf(reports[i]),
                              node = forwarder](const result<worker_orders> &outcome) {
@@ -131,6 +178,16 @@
     }
 }
 
+// Forgets workers that no longer report. Entries that are still needed are made again.
+void report_router::pruneWorkers()
+{
+    const auto limit = 2 * workers_.workerCount() + minTrackedWorkers;
+    if (holders_.size() > limit)
+        holders_.clear();
+    if (redirected_.size() > limit)
+        redirected_.clear();
+}
+
 answer_mode report_router::modeFor(const std::string &forwarder) const
 {
     return !forwarder.empty() && feed_.isPolling(forwarder) ? answer_mode::MayBeHeld
@@ -153,6 +210,8 @@
 void report_router::handleLeadershipChange()
 {
     holders_.clear();
+    zones_.clear();
+    redirected_.clear();
     feed_.reset();
     held_.releaseAll(releaseSpread);
 }
@@ -178,6 +237,7 @@
     detail::report_batch batch;
     if (mayHold_)
         batch.forwarder = options_.address;
+    batch.zone = options_.zone;
     auto sent = std::exchange(pending_, {});
     for (const auto &pending : sent)
         batch.reports.push_back(pending.report);
@@ -211,13 +271,15 @@
                         {},
                         {}});
     }
-    const auto &address = batch.stayWithForwarder ? options_.address : batch.leaderAddress;
+    const auto &usual = batch.stayWithForwarder ? options_.address : batch.leaderAddress;
     for (std::size_t i = 0; i < reports.size(); ++i) {
         const auto &item = batch.answers[i];
         if (item.code != result_code::Ok) {
             reports[i].done(error {item.code, item.detail, {}, {}});
             continue;
         }
+        const bool moved = i < batch.addresses.size() && !batch.addresses[i].empty();
+        const auto &address = moved ? batch.addresses[i] : usual;
         const auto hold = i < batch.holdMs.size() && mayHold_ ? batch.holdMs[i] : 0;
         routed_orders routed {item.orders, address};
         if (hold == 0) {
@@ -238,7 +300,7 @@
 void report_router::poll()
 {
     pollInFlight_ = true;
-    send_(detail::encodeReports({{}, options_.address}),
+    send_(detail::encodeReports({{}, options_.address, options_.zone}),
           [this, alive = std::weak_ptr<int>(alive_)](const result<std::string> &answer) {
               if (!alive.expired())
                   finishPoll(answer);
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -195,7 +195,8 @@
     recordUnplaceable(item);
     if (item.pastFinalDeadline && !item.guaranteed)
         return;
-    if (item.job->source.priority == 0 && preemptions_ < maxPreemptions) {
+    if (item.job->source.priority == 0 && preemptions_ < maxPreemptions
+        && input_.wallMs >= item.preemptFromMs) {
         ++preemptions_;
         if (preempt(item)) {
             applyClaim(claims_.at(item.first), 1);
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -1,5 +1,7 @@
 #include "units.h"
 
+#include "preemption_timing.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -74,14 +76,25 @@
     return running;
 }
 
+// Returns for each step the expected time from its start to the end of the job.
+std::vector<std::int64_t> timesToEnd(const job_spec &spec)
+{
+    std::vector<std::int64_t> times(spec.steps.size());
+    for (auto i = spec.steps.size(); i-- > 0;) {
+        times[i] += spec.steps[i].estimateMs;
+        for (const auto dependency : spec.steps[i].dependsOn)
+            times[dependency] = std::max(times[dependency], times[i]);
+    }
+    return times;
+}
+
 void addUnits(const job_record &job, const schedule_input &input, bool guaranteed,
               std::vector<unit> &units)
 {
     const auto objective = job.objectiveMs();
+    const auto toEnd = timesToEnd(job.spec);
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
-        const auto due = std::max(
-                job.acceptedMs,
-                job.spec.firstDueMs + static_cast<std::int64_t>(occurrence) * job.spec.intervalMs);
+        const auto due = dueMs(job, occurrence);
         if (due > input.wallMs)
             break;
         for (std::uint32_t stepIndex = 0; stepIndex < job.occurrences[occurrence].size();
@@ -95,10 +108,13 @@
             base.job = &job;
             base.spec = &spec;
             base.first = {job.id, occurrence, stepIndex, 0};
-            base.latestStartMs = due + objective - spec.estimateMs;
+            base.latestStartMs = due + objective - toEnd[stepIndex];
+            base.preemptFromMs = preemptFromMs({due, base.latestStartMs,
+                                                finalDeadlineMs(job, occurrence) - toEnd[stepIndex],
+                                                guaranteed});
             // Long-running tasks have value for as long as they run.
             base.pastFinalDeadline
-                    = !spec.longRunning && input.wallMs > due + finalDeadlineObjectives * objective;
+                    = !spec.longRunning && input.wallMs > finalDeadlineMs(job, occurrence);
             base.guaranteed = guaranteed;
             if (spec.gang)
                 addGang(step, std::move(base), units);
@@ -110,6 +126,18 @@
 
 } // namespace
 
+std::int64_t dueMs(const job_record &job, std::uint32_t occurrence)
+{
+    return std::max(job.acceptedMs,
+                    job.spec.firstDueMs
+                            + static_cast<std::int64_t>(occurrence) * job.spec.intervalMs);
+}
+
+std::int64_t finalDeadlineMs(const job_record &job, std::uint32_t occurrence)
+{
+    return dueMs(job, occurrence) + finalDeadlineObjectives * job.objectiveMs();
+}
+
 std::map<std::string, urgent_use> urgentUse(const ledger &state)
 {
     std::map<std::string, urgent_use> uses;
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -16,7 +16,8 @@
     const step_spec *spec = nullptr;
     task_id first; // task of the first index
     std::vector<std::uint32_t> indexes;
-    std::int64_t latestStartMs = 0; // Unix milliseconds
+    std::int64_t latestStartMs = 0; // to meet the objective of the job, in Unix milliseconds
+    std::int64_t preemptFromMs = 0; // other work is stopped for the unit from then on
     bool pastFinalDeadline = false; // so late that completing it has no value
     bool guaranteed = false; // urgent, and all urgent work of its tenant is within its reservation
     bool lastAttempt = false; // the next failure fails the job
@@ -37,6 +38,12 @@
     return stepOf(item.first);
 }
 
+// Returns when an occurrence of a job may start, in Unix milliseconds.
+std::int64_t dueMs(const job_record &job, std::uint32_t occurrence);
+
+// Returns the time after which completing an occurrence has no value, in Unix milliseconds.
+std::int64_t finalDeadlineMs(const job_record &job, std::uint32_t occurrence);
+
 // Accelerators used and wanted by the urgent work of a tenant.
 struct urgent_use
 {
--- a/packages/batch/test/fixture.h
+++ b/packages/batch/test/fixture.h
@@ -86,6 +86,14 @@
         return step;
     }
 
+    // Tasks without slack if their queue has priority 0: other work is stopped for them at once.
+    static step_spec pressingTasks(std::uint32_t count, std::int64_t accelerators)
+    {
+        auto step = tasks(count, accelerators);
+        step.estimateMs = 250;
+        return step;
+    }
+
     worker_report report(const std::string &id)
     {
         worker_report heartbeat;
--- a/packages/batch/test/service-test.cc
+++ b/packages/batch/test/service-test.cc
@@ -119,3 +119,34 @@
     CHECK_TRUE(leader.stateOf("a/b") == job_state::Cancelled);
     CHECK_TRUE(leader.stateOf("b") == job_state::Queued);
 }
+
+// Guards against a withdrawn key that is accepted again after a restart: the state is restored from
+// a snapshot, and an older configuration may follow in the log.
+TEST(Service, keyWithdrawnBeforeARestartIsRefused)
+{
+    configuration withBoth;
+    withBoth.version = 1;
+    withBoth.queues = {{"q", "host", "/private/", "pool", 1, 1, 1.0, 1, false, 0}};
+    withBoth.tenants = {{"owner", {"old", "new"}, 0}};
+    auto withdrawn = withBoth;
+    withdrawn.version = 2;
+    withdrawn.tenants.front().keys = {"new"};
+    CHECK_TRUE(configureCode(withBoth) == result_code::Ok);
+    CHECK_TRUE(configureCode(withdrawn) == result_code::Ok);
+    leader_fixture restarted;
+    CHECK_FALSE(failed(restarted.state.restore(leader.state.snapshot())));
+    restarted.commit(set_configuration {withBoth});
+    const auto codeOf = [&](std::string_view key) {
+        result_code code = result_code::Internal;
+        job_spec spec;
+        spec.steps = {leader_fixture::tasks(1, 1)};
+        const auto path = "/private/" + std::string(key);
+        restarted.queues.submit(restarted.wallMs, {"host", path, key}, spec,
+                                [&](const status &done) {
+                                    code = failed(done) ? errorOf(done).code : result_code::Ok;
+                                });
+        return code;
+    };
+    CHECK_TRUE(codeOf("old") == result_code::UnknownWorkspace);
+    CHECK_TRUE(codeOf("new") == result_code::Ok);
+}
--- a/packages/cluster/src/relay_client.cc
+++ b/packages/cluster/src/relay_client.cc
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "base/log.h"
 #include "cluster/address.h"
+#include "cluster/retry_delay.h"
 #include "control.capnp.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <random>
 #include <utility>
 
 namespace persimmon::cluster {
@@ -18,7 +20,6 @@
 
 namespace schema = wire::schema;
 
-constexpr milliseconds retryDelay {60};
 constexpr std::size_t maxNodes = 64;
 
 kj::Duration toKj(milliseconds duration)
@@ -56,6 +57,7 @@
     bool mayHaveBeenSent = false; // a node may have received the request
     bool attemptInFlight = false; // an attempt was sent and has not been answered
     bool finished = false;
+    std::uint32_t failedAttempts = 0;
     timer_service::subscription expiry {};
     std::string failure = "no node has answered";
 };
@@ -295,7 +297,9 @@
 
     void retryLater(const std::shared_ptr<pending_call> &item)
     {
-        loop_.timers().after(retryDelay, [this, item](time_point) { attempt(item); });
+        ++item->failedAttempts;
+        loop_.timers().after(retryDelay(item->failedAttempts, random_()),
+                             [this, item](time_point) { attempt(item); });
     }
 
     void locate()
@@ -339,7 +343,8 @@
     std::vector<consensus::voter_id> nodes_;
     std::map<consensus::voter_id, node_link> links_;
     consensus::voter_id leader_ = 0;
-    std::size_t nextNode_ = 0;
+    std::size_t nextNode_ = std::random_device {}(); // so that not all begin with the same node
+    std::minstd_rand random_ {std::random_device {}()};
     time_point lastContact_ {};
     timer_service::subscription locateTimer_ {};
     failure_handler failureHandler_;
