--- /dev/null
+++ b/packages/batch/src/controller-orders.cc
@@ -0,0 +1,319 @@
+#include "base/event_log.h"
+#include "batch/controller.h"
+#include "controller-detail.h"
+
+#include <algorithm>
+#include <utility>
+
+// Orders of the controller: starts, stops and paces, and the answers that are held until there are
+// some.
+namespace persimmon::batch {
+
+using detail::contains;
+using detail::millisecondsOf;
+using detail::nameOf;
+
+namespace {
+
+// Shortest time between an answer that was held and the next heartbeat.
+constexpr milliseconds minRetry {20};
+
+// Time that a draining worker needs to stop a run and report its end.
+constexpr std::int64_t finalReportMs = 1500;
+
+} // namespace
+
+// Marks the workers of the active members of a gang, which are stopped if a member has ended.
+void controller::markMembers(const task_id &task)
+{
+    const auto *job = state_.findJob(task.job);
+    if (job == nullptr)
+        return;
+    for (const auto &member : job->stepOf(task).tasks) {
+        if (member.active)
+            ordersDue_.insert(member.worker);
+    }
+}
+
+void controller::stopJob(const std::string &id)
+{
+    passRequested_ = true;
+    const auto *job = state_.findJob(id);
+    if (job == nullptr)
+        return;
+    for (const auto &steps : job->occurrences) {
+        for (const auto &step : steps) {
+            for (const auto &task : step.tasks) {
+                if (task.active)
+                    ordersDue_.insert(task.worker);
+            }
+        }
+    }
+}
+
+// Returns false if the run is being stopped already.
+bool controller::requestStop(const task_id &task, std::uint32_t run, const std::string &worker)
+{
+    if (!stopping_.insert({task, run}).second)
+        return false;
+    ordersDue_.insert(worker);
+    return true;
+}
+
+// Returns whether a member of a gang's current run is no longer active although the step isn't
+// done. The remaining members have to be stopped then.
+bool controller::isIncompleteGang(const job_record &job, const task_id &task) const
+{
+    const auto &step = job.stepOf(task);
+    return job.spec.steps[task.step].gang && !job.taskOf(task).done
+            && step.activeCount < step.tasks.size();
+}
+
+bool controller::shouldStop(const worker_state &worker, const task_id &task,
+                            std::uint32_t run) const
+{
+    const auto *job = state_.findJob(task.job);
+    if (job == nullptr || job->ended())
+        return true;
+    return stopping_.contains({task, run}) || committingEnds_.contains(task)
+            || worker.report.draining || isIncompleteGang(*job, task);
+}
+
+// Returns whether a run that a worker reports has to be stopped.
+bool controller::shouldEnd(const worker_state &worker, const running_task &row) const
+{
+    const auto &runs = state_.runsOn(worker.report.id);
+    const auto found = runs.find(row.task);
+    const bool expected = found != runs.end() && found->second.run == row.run
+            && found->second.incarnation == worker.report.incarnation;
+    if (!expected)
+        return true;
+    const auto *job = state_.findJob(row.task.job);
+    // A run of a completed job isn't stopped: the other members of a gang end by themselves once
+    // the end of the gang is committed.
+    if (job != nullptr && job->state == job_state::Done)
+        return false;
+    return job == nullptr || job->ended() || stopping_.contains({row.task, row.run})
+            || isIncompleteGang(*job, row.task);
+}
+
+worker_orders controller::ordersFor(worker_state &worker)
+{
+    worker_orders orders;
+    orders.leaseMs = options_.lease.count();
+    orders.fencingToken = term_;
+    for (const auto &row : worker.report.running) {
+        if (shouldEnd(worker, row))
+            orders.stops.push_back({row.task, row.run});
+    }
+    addStarts(worker, orders);
+    addPaces(worker, orders);
+    const bool busy = !orders.paces.empty() || hasWaitingUnits_ || committing_
+            || !orders.starts.empty() || !orders.stops.empty();
+    const auto period
+            = worker.report.draining ? options_.busyHeartbeatPeriod : heartbeatPeriod(busy);
+    worker.nextHeartbeat = now_ + period;
+    orders.retryMs = period.count();
+    return orders;
+}
+
+// Returns for how long the answer to the newest heartbeat of a worker may be held, or zero.
+milliseconds controller::holdLimit(const worker_state &worker) const
+{
+    if (worker.report.draining || worker.paceReduced)
+        return milliseconds {0};
+    std::vector<milliseconds> remaining;
+    for (const auto &[task, tracked] : worker.runs) {
+        const auto *job = state_.findJob(task.job);
+        if (job == nullptr)
+            return milliseconds {0};
+        const auto &spec = job->spec.steps[task.step];
+        // The pace of other tasks depends on the reports of tasks that serve users.
+        if (spec.latencyObjectiveMs > 0)
+            return milliseconds {0};
+        if (spec.longRunning)
+            continue;
+        remaining.push_back(expectedRemaining(
+                {tracked.firstPercent, tracked.percent,
+                 std::chrono::duration_cast<milliseconds>(tracked.lastProgress - tracked.started),
+                 std::chrono::duration_cast<milliseconds>(now_ - tracked.lastProgress),
+                 milliseconds {spec.estimateMs}}));
+    }
+    auto limits = options_.hold;
+    limits.longest -= std::chrono::duration_cast<milliseconds>(now_ - worker.lastHeartbeat);
+    if (worker.report.clockMs != 0)
+        limits.longest -= milliseconds {millisecondsOf(worker.lastHeartbeat.time_since_epoch())
+                                        - worker.report.clockMs - worker.clockOffsetMs};
+    return holdFor(remaining, limits);
+}
+
+// Allows the answer to be held if it contains no orders.
+void controller::holdAnswer(worker_state &worker, worker_orders &orders)
+{
+    if (!orders.starts.empty() || !orders.stops.empty() || !orders.paces.empty())
+        return;
+    const auto hold = holdLimit(worker);
+    if (hold.count() == 0)
+        return;
+    const auto period = heartbeatPeriod(hasWaitingUnits_);
+    orders.holdMs = hold.count();
+    orders.retryMs = std::max(minRetry, period - hold).count();
+    worker.held = held_answer {now_ + hold, orders.ackedUpTo};
+    worker.nextHeartbeat = now_;
+}
+
+// Sends orders that have become ready to the workers whose answers are held.
+void controller::sendReadyOrders()
+{
+    if (ordersDue_.empty() || !mayAct_())
+        return;
+    for (const auto &id : std::exchange(ordersDue_, {})) {
+        const auto found = workers_.find(id);
+        if (found == workers_.end() || !found->second.held || found->second.held->until <= now_)
+            continue;
+        auto &worker = found->second;
+        const auto nextHeartbeat = worker.nextHeartbeat;
+        auto orders = ordersFor(worker);
+        if (orders.starts.empty() && orders.stops.empty() && orders.paces.empty()) {
+            worker.nextHeartbeat = nextHeartbeat;
+            continue;
+        }
+        orders.ackedUpTo = worker.held->ackedUpTo;
+        worker.held.reset();
+        ordersReady_(id, std::move(orders));
+    }
+}
+
+// The period grows with the number of workers, to limit the heartbeat rate of the whole fleet.
+milliseconds controller::heartbeatPeriod(bool busy) const
+{
+    const auto load = std::chrono::duration_cast<milliseconds>(options_.heartbeatPeriodPerWorker
+                                                               * static_cast<int>(workers_.size()));
+    const auto period = busy ? std::max(options_.busyHeartbeatPeriod, load)
+                             : std::max(options_.idleHeartbeatPeriod, load * 2);
+    return std::min(period, options_.maxHeartbeatPeriod);
+}
+
+// Repeated orders aren't observed again.
+void controller::recordOrderSent(const run_key &run)
+{
+    const auto placed = unsentOrders_.find(run);
+    if (placed == unsentOrders_.end())
+        return;
+    observeLatency_(latency_stage::Order, now_ - placed->second);
+    unsentOrders_.erase(placed);
+    sentOrders_[run] = now_;
+}
+
+void controller::recordReported(const run_key &run)
+{
+    const auto sent = sentOrders_.find(run);
+    if (sent == sentOrders_.end())
+        return;
+    observeLatency_(latency_stage::Start, now_ - sent->second);
+    sentOrders_.erase(sent);
+}
+
+void controller::addStarts(const worker_state &worker, worker_orders &orders)
+{
+    for (const auto &[task, run] : state_.runsOn(worker.report.id)) {
+        if (run.incarnation != worker.report.incarnation)
+            continue;
+        const auto running = worker.runs.find(task);
+        if (running != worker.runs.end() && running->second.run == run.run)
+            continue;
+        if (shouldStop(worker, task, run.run))
+            continue;
+        if (contains(worker.report.ended, run))
+            continue;
+        const auto &job = *state_.findJob(task.job);
+        const auto &step = job.stepOf(task);
+        // All members of a gang resume from the same checkpoint: the greatest by name.
+        std::string checkpoint = job.taskOf(task).checkpoint;
+        if (job.spec.steps[task.step].gang) {
+            checkpoint.clear();
+            for (const auto &member : step.tasks)
+                checkpoint = std::max(checkpoint, member.checkpoint);
+        }
+        std::string ticketText;
+        if (job.source.adviceValidMs > 0) {
+            const auto *cached = advice_.find(stepOf(task), worker.report.id, run.incarnation,
+                                              worker.lastHeartbeat);
+            if (cached == nullptr) {
+                missingTickets_.insert({stepOf(task), worker.report.id});
+                continue;
+            }
+            ticketText = *cached;
+        }
+        orders.starts.push_back(
+                {task, run.run, job.spec.payload, std::move(checkpoint), std::move(ticketText)});
+        recordOrderSent({task, run.run});
+        logEvent("task.start_sent",
+                 {{"job", task.job},
+                  {"task", nameOf(task)},
+                  {"run", run.run},
+                  {"worker", worker.report.id},
+                  {"token", term_}});
+    }
+}
+
+void controller::updatePace(worker_state &worker, time_point now) const
+{
+    double worst = 0;
+    for (const auto &row : worker.report.running) {
+        if (!state_.hasTask(row.task))
+            continue;
+        const auto objective
+                = state_.findJob(row.task.job)->spec.steps[row.task.step].latencyObjectiveMs;
+        if (objective > 0)
+            worst = std::max(worst, static_cast<double>(row.tailLatencyMs) / objective);
+    }
+    const auto before = worker.pace.percent();
+    worker.pace.observe(now, worst);
+    if (worker.pace.percent() != before)
+        logEvent("worker.paced",
+                 {{"worker", worker.report.id},
+                  {"worst_ratio", worst},
+                  {"earlier_percent", before},
+                  {"percent", worker.pace.percent()}});
+}
+
+// Tasks start at full speed, so a reduced pace is repeated in each answer.
+void controller::addPaces(worker_state &worker, worker_orders &orders) const
+{
+    if (worker.pace.percent() == 100 && !worker.paceReduced)
+        return;
+    worker.paceReduced = worker.pace.percent() < 100;
+    for (const auto &row : worker.report.running) {
+        if (state_.hasTask(row.task)
+            && state_.findJob(row.task.job)->spec.steps[row.task.step].usesIdleCpu)
+            orders.paces.push_back({row.task, row.run, worker.pace.percent()});
+    }
+}
+
+// Moves tasks that can't end before a draining worker leaves, and shortly before it leaves all
+// tasks that still run: if a task ended and the worker could no longer report it, the task would be
+// run again.
+void controller::stopDraining(const worker_state &worker)
+{
+    if (!worker.report.remainingMs)
+        return;
+    for (const auto &[task, tracked] : worker.runs) {
+        const auto *job = state_.findJob(task.job);
+        if (job == nullptr || job->ended())
+            continue;
+        const auto left = static_cast<std::int64_t>(job->spec.steps[task.step].estimateMs)
+                * (100 - std::min(100U, tracked.percent)) / 100;
+        const auto remaining = *worker.report.remainingMs;
+        if ((left > remaining || remaining < finalReportMs)
+            && requestStop(task, tracked.run, worker.report.id))
+            logEvent("task.moved",
+                     {{"task", nameOf(task)},
+                      {"job", task.job},
+                      {"worker", worker.report.id},
+                      {"why", "draining"},
+                      {"left_ms", left}});
+    }
+}
+
+} // namespace persimmon::batch
