Retry tasks first where a run has just succeeded

Workers without known failures were all alike.

Change: a task that has failed before prefers workers on which a run has succeeded within 5 s and none has failed since (penalty, rack and packing decide among these). It never waits for one.

Test: Controller retriesWhereARunHasSucceeded; without the preference it fails (w1 instead of w9).

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -152,7 +152,7 @@
         bool clockConfirmed = false; // the newest heartbeat was not delayed in transit
         time_point quarantinedUntil {};
         std::set<std::string> failedJobs; // since the last run that succeeded
-        bool everDone = false;
+        std::optional<time_point> lastDone; // newest success
         std::optional<time_point> leftAt;
         std::map<task_id, tracked_run> runs;
         // Runs that the worker doesn't list: the run number, and since when.
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -24,6 +24,7 @@
     milliseconds untilHeartbeat {0};
     int penalty = 0; // 0: no recent failures; workers with higher values are used last
     bool trusted = true; // false: gets no task on its last attempt
+    bool proven = false; // a run has succeeded there a moment ago and none has failed since
     bool schedulable = true; // false: gets no new tasks
 };
 
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -26,6 +26,10 @@
 // A run is stalled if it takes the time of this many percent for the next one.
 constexpr int stallPercents = 5;
 
+// A worker counts as proven for this time after a success. A worker may begin to fail everything
+// at any moment, so an older success tells little.
+constexpr milliseconds provenTime {5000};
+
 constexpr std::int64_t cleanupPeriodMs = 10000;
 
 } // namespace
@@ -208,6 +212,7 @@
                 ? 3
                 : static_cast<int>(std::min<std::size_t>(2, worker.failedJobs.size()));
         view.trusted = worker.failedJobs.empty() && !isQuarantined;
+        view.proven = view.trusted && worker.lastDone && *worker.lastDone + provenTime > now;
         view.schedulable = isSchedulable(worker, now) && !isQuarantined;
     }
     // If more than half of the workers are in quarantine, the cause is unlikely to be the workers,
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -311,7 +311,7 @@
               {"outcome", "reported"}});
     if (row.kind == end_kind::Done) {
         worker.failedJobs.clear();
-        worker.everDone = true;
+        worker.lastDone = now;
         return;
     }
     if (row.kind != end_kind::Failed)
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -295,10 +295,13 @@
     std::ranges::stable_sort(found, {}, [&](std::size_t worker) {
         const auto &labels = reportOf(worker).labels;
         const bool notPreferred = !rack.empty() && std::ranges::find(labels, rack) == labels.end();
+        // Each attempt of a task may be the last one of its job.
+        const bool unproven = item.retried() && !workers[worker].proven;
         // Idle workers are taken from racks that have few of them, which keeps whole racks free.
         const auto idle = isIdle(worker) ? idleInRack_.at(reportOf(worker).rack) : 0;
-        return std::tuple(notPreferred, workers[worker].penalty, heartbeatRank(item, worker),
-                          available_[worker].accelerators, idle, available_[worker].cpu);
+        return std::tuple(unproven, notPreferred, workers[worker].penalty,
+                          heartbeatRank(item, worker), available_[worker].accelerators, idle,
+                          available_[worker].cpu);
     });
     keepReserve(item, found);
     return found;
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -23,6 +23,8 @@
     bool lastAttempt = false; // the next failure fails the job
     std::vector<std::string> avoidedWorkers; // workers on which a task of the unit has failed
 
+    // Returns whether a task of the unit has failed before.
+    bool retried() const { return !avoidedWorkers.empty(); }
     bool placedTogether() const { return spec->gang && indexes.size() > 1; }
     bool inOneRack() const { return placedTogether() && spec->sameRack; }
     // Returns whether the choice of workers depends only on their pool and resources.
--- a/packages/batch/test/controller-test.cc
+++ b/packages/batch/test/controller-test.cc
@@ -221,6 +221,32 @@
     STRCMP_EQUAL("w2", leader.state.findJob("c")->taskOf({"c", 0, 0, 0}).worker.c_str());
 }
 
+// Guards against a job that fails because its second attempt went to another worker that fails
+// everything: among workers without known failures, one with a recent success comes first.
+TEST(Controller, retriesWhereARunHasSucceeded)
+{
+    leader.configure(1);
+    leader.sendHeartbeat(leader.report("w9"));
+    leader.submit("/q1/good", leader_fixture::tasks(1, 8));
+    leader.advance(100);
+    auto ended = leader.report("w9");
+    ended.ended.push_back({1, {"good", 0, 0, 0}, 1, end_kind::Done, ""});
+    leader.sendHeartbeat(ended);
+    for (const auto *id : {"w1", "w2", "w3"})
+        leader.sendHeartbeat(leader.report(id));
+    leader.submit("/q1/bad", leader_fixture::tasks(1, 8));
+    leader.advance(100);
+    const auto first = leader.state.findJob("bad")->taskOf({"bad", 0, 0, 0}).worker;
+    CHECK_TRUE(first != "w9");
+    auto failed = leader.report(first);
+    failed.ended.push_back({1, {"bad", 0, 0, 0}, 1, end_kind::Failed, ""});
+    leader.sendHeartbeat(failed);
+    leader.advance(100);
+    const auto &retried = leader.state.findJob("bad")->taskOf({"bad", 0, 0, 0});
+    CHECK_EQUAL(2, retried.run);
+    STRCMP_EQUAL("w9", retried.worker.c_str());
+}
+
 // Guards against a run that makes no progress and is never moved.
 TEST(Controller, movesStalledRun)
 {
