Let each stand-in worker of the process tests wait for its own answer

Cause: the test sent the heartbeats of all workers one after another. With held answers each waits up to 650 ms, so four workers reported every 2.6 s, and the soak became thin.

Change: each worker has at most one heartbeat outstanding, like a real one, and the others don't wait for it.

--- a/packages/system/test/batch-test.cc
+++ b/packages/system/test/batch-test.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -81,20 +82,8 @@
     // Sends the heartbeats that are due and advances the stand-in workers by the elapsed real time.
     void step(platform::standin_fleet &fleet)
     {
-        const auto sent = nowMs();
-        for (auto &worker : fleet.workers) {
-            if (sent < nextHeartbeatMs_[worker.id])
-                continue;
-            const auto body = fleet.heartbeat(worker, sent);
-            const auto target = scheduler(targetIndex_ % schedulers);
-            const auto answer
-                    = call(target, "PUT", "/instances/" + worker.id, body, {}, milliseconds {900});
-            if (answer.status == 200)
-                fleet.receive(worker, sent, nowMs(), answer.body);
-            else
-                ++targetIndex_;
-            nextHeartbeatMs_[worker.id] = nowMs() + 100;
-        }
+        for (auto &worker : fleet.workers)
+            exchangeHeartbeat(fleet, worker);
         const auto now = nowMs();
         if (lastStepMs_ != 0)
             fleet.advance(now - lastStepMs_, now);
@@ -197,6 +186,39 @@
     }
 
 private:
+    // A heartbeat whose answer is outstanding. Answers may be held, so each worker waits for its
+    // own.
+    struct outstanding_heartbeat
+    {
+        std::int64_t sentMs = 0;
+        std::future<http_response> answer;
+    };
+
+    void exchangeHeartbeat(platform::standin_fleet &fleet, platform::standin_worker &worker)
+    {
+        auto &waiting = outstanding_[worker.id];
+        if (waiting.answer.valid()) {
+            if (waiting.answer.wait_for(milliseconds {0}) != std::future_status::ready)
+                return;
+            const auto answer = waiting.answer.get();
+            if (answer.status == 200)
+                fleet.receive(worker, waiting.sentMs, nowMs(), answer.body);
+            else
+                ++targetIndex_;
+            nextHeartbeatMs_[worker.id] = nowMs() + 50;
+            return;
+        }
+        if (nowMs() < nextHeartbeatMs_[worker.id])
+            return;
+        waiting.sentMs = nowMs();
+        waiting.answer = std::async(
+                std::launch::async,
+                [target = scheduler(targetIndex_ % schedulers), path = "/instances/" + worker.id,
+                 body = fleet.heartbeat(worker, waiting.sentMs)] {
+                    return call(target, "PUT", path, body, {}, milliseconds {950});
+                });
+    }
+
     static std::string ip(int number) { return "127.0.32." + std::to_string(number + 1); }
     std::string scheduler(int number) const { return ip(number) + ":" + std::to_string(port_); }
     std::string gateway() const { return "127.0.32.9:" + std::to_string(port_); }
@@ -230,6 +252,7 @@
     std::map<int, process> processes_;
     process gateway_;
     std::map<std::string, std::int64_t> nextHeartbeatMs_;
+    std::map<std::string, outstanding_heartbeat> outstanding_; // by worker
     int targetIndex_ = 0;
     std::int64_t lastStepMs_ = 0;
 };
