--- a/packages/batch/bench/leader-bench.cc
+++ b/packages/batch/bench/leader-bench.cc
@@ -1,5 +1,5 @@
-// Measures the processor time of a leader for a heartbeat and for a scheduling pass with waiting
-// work, by the size of the fleet.
+// Measures the processor time of a leader for a heartbeat, for a scheduling pass with waiting work
+// and for one that stops other work for urgent jobs, by the size of the fleet.
 #include "batch/controller.h"
 
 #include <chrono>
@@ -34,6 +34,7 @@
         configuration value;
         value.version = 1;
         value.queues.push_back({"q", "host", "/q/", "pool", 1, 3, 3.0, 1000, true, 0});
+        value.queues.push_back({"u", "host", "/u/", "pool", 0, 3, 3.0, 1000, true, 0});
         state_.apply(command {set_configuration {value}});
         for (int i = 0; i < workers; ++i) {
             auto &report = reports_.emplace_back();
@@ -65,6 +66,15 @@
         return microsecondsSince(begin) / static_cast<double>(reports_.size());
     }
 
+    // Returns the time of a pass with ten urgent jobs that other work has to be stopped for.
+    double urgentPass()
+    {
+        constexpr int urgentJobs = 10;
+        for (int i = 0; i < urgentJobs; ++i)
+            accept(8, 8, 250, 1);
+        return pass();
+    }
+
     // Returns the time of one pass in microseconds.
     double pass()
     {
@@ -79,21 +89,25 @@
     void submit(int tasks, int accelerators)
     {
         constexpr int tasksPerJob = 16;
-        for (int first = 0; first < tasks; first += tasksPerJob) {
-            step_spec step;
-            step.count = tasksPerJob;
-            step.need = {1000, 1000, accelerators};
-            step.estimateMs = 60000;
-            job_spec spec;
-            spec.steps = {step};
-            state_.apply(command {accept_job {"job" + std::to_string(++jobs_), "t",
-                                              state_.currentConfiguration().queues.front(), spec,
-                                              wallMs_}});
-        }
+        for (int first = 0; first < tasks; first += tasksPerJob)
+            accept(tasksPerJob, accelerators, 60000, 0);
         pass();
         pass();
     }
 
+    void accept(std::uint32_t tasks, int accelerators, std::uint32_t estimateMs, std::size_t queue)
+    {
+        step_spec step;
+        step.count = tasks;
+        step.need = {1000, 1000, accelerators};
+        step.estimateMs = estimateMs;
+        job_spec spec;
+        spec.steps = {step};
+        state_.apply(
+                command {accept_job {"job" + std::to_string(++jobs_), "t",
+                                     state_.currentConfiguration().queues[queue], spec, wallMs_}});
+    }
+
     ledger state_;
     controller controller_;
     std::vector<worker_report> reports_;
@@ -106,7 +120,8 @@
 
 int main()
 {
-    std::printf("%8s %20s %16s\n", "workers", "heartbeat, us each", "pass, ms");
+    std::printf("%8s %20s %16s %20s\n", "workers", "heartbeat, us each", "pass, ms",
+                "urgent pass, ms");
     for (const auto size : sizes) {
         fleet measured(size);
         double heartbeat = 0;
@@ -115,6 +130,11 @@
             heartbeat += measured.heartbeats() / rounds;
             pass += measured.pass() / rounds / 1000;
         }
-        std::printf("%8d %20.1f %16.2f\n", size, heartbeat, pass);
+        double urgent = 0;
+        for (int i = 0; i < rounds; ++i) {
+            measured.heartbeats();
+            urgent += measured.urgentPass() / rounds / 1000;
+        }
+        std::printf("%8d %20.1f %16.2f %20.2f\n", size, heartbeat, pass, urgent);
     }
 }
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -71,6 +71,9 @@
 
     bool isLeading() const { return term_ != 0; }
 
+    // Returns whether the last pass left work of priority 0 without a worker.
+    bool hasWaitingUrgentWork() const { return hasWaitingUrgentUnits_; }
+
     // Sets the function that tells whether this leader may still act. It is asked before orders are
     // sent after a commit, because the process may have been paused meanwhile.
     void setPermission(std::function<bool()> mayAct) { mayAct_ = std::move(mayAct); }
@@ -242,6 +245,7 @@
     bool committing_ = false; // starts or a barrier are being committed
     bool commitOutcomeUnknown_ = false; // a failed commit may still take effect
     bool hasWaitingUnits_ = false; // tasks are waiting for a worker
+    bool hasWaitingUrgentUnits_ = false;
     time_point nextPass_ {};
     std::int64_t lastCleanupMs_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -77,6 +77,7 @@
     std::vector<assignment> starts;
     std::vector<assignment> preemptions; // runs to be stopped
     std::size_t waiting = 0; // units that were not placed completely
+    std::size_t urgentWaiting = 0; // of them, units of priority 0
     std::vector<unit_wait> waits;
     std::vector<advice_request> advice;
 };
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -264,6 +264,7 @@
     input.checkpointMs = options_.checkpointPeriod.count();
     auto output = scheduler_.plan(input);
     hasWaitingUnits_ = output.waiting > 0;
+    hasWaitingUrgentUnits_ = output.urgentWaiting > 0;
     logWaits(output.waits, wallMs);
     requestMissingAdvice(now, std::move(output.advice));
     for (const auto &run : output.preemptions) {
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -76,6 +76,7 @@
     committing_ = false;
     commitOutcomeUnknown_ = false;
     hasWaitingUnits_ = false;
+    hasWaitingUrgentUnits_ = false;
 }
 
 bool controller::isStale(const worker_state &worker, const worker_report &report) const
--- a/packages/batch/src/preemption.cc
+++ b/packages/batch/src/preemption.cc
@@ -12,6 +12,10 @@
 // Added to the lost seconds of each run, so that fewer stops are preferred.
 constexpr double stopPenaltySeconds = 0.3;
 
+// Workers that are examined for a unit before all others.
+constexpr std::size_t minWorkersExamined = 64;
+constexpr std::size_t workersExaminedPerTask = 4;
+
 // Cost of stopping urgent or long-running work, which is preempted only as a last resort.
 constexpr double lastResortPenaltySeconds = 1000;
 
@@ -66,9 +70,15 @@
                 workerVictims.push_back(victimIndex);
         }
     }
-    for (auto &workerVictims : victimsOn_)
-        std::ranges::sort(workerVictims, {},
+    std::vector<double> costs(victimsOn_.size());
+    for (std::size_t i = 0; i < victimsOn_.size(); ++i) {
+        std::ranges::sort(victimsOn_[i], {},
                           [this](std::size_t victimIndex) { return victims_[victimIndex].cost; });
+        for (const auto victimIndex : victimsOn_[i])
+            costs[i] += victims_[victimIndex].cost;
+    }
+    byVictimCost_ = allWorkers_;
+    std::ranges::stable_sort(byVictimCost_, {}, [&](std::size_t worker) { return costs[worker]; });
 }
 
 // Returns the working time that is lost if a run is stopped.
@@ -172,6 +182,20 @@
     return chosen;
 }
 
+// Looks at the workers that are cheapest to vacate first, so that the cost of a pass is bounded in
+// a large fleet, and at all of them only if these don't suffice.
+std::vector<scheduler::pass::placement_option> scheduler::pass::cheapestAnywhere(
+        const unit &item) const
+{
+    const auto first = std::min(byVictimCost_.size(),
+                                minWorkersExamined + workersExaminedPerTask * item.indexes.size());
+    const auto middle = byVictimCost_.begin() + static_cast<std::ptrdiff_t>(first);
+    auto best = cheapestPlacement(item, {byVictimCost_.begin(), middle});
+    if (best.empty() && middle != byVictimCost_.end())
+        best = cheapestPlacement(item, byVictimCost_);
+    return best;
+}
+
 // Preempts the cheapest set of runs that frees enough resources for the unit, and claims these
 // resources. Returns false if there is no such set.
 bool scheduler::pass::preempt(const unit &item)
@@ -196,7 +220,7 @@
         }
     }
     if (best.empty())
-        best = cheapestPlacement(item, allWorkers_);
+        best = cheapestAnywhere(item);
     if (best.empty())
         return false;
     auto &claimed = claims_[item.first];
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -179,12 +179,12 @@
             claims_.erase(item.first);
         if (slots.size() == item.indexes.size())
             return;
-        ++output_.waiting;
+        countWaiting(item);
         if (item.job->source.adviceValidMs > 0)
             requestAdvice(item);
         return;
     }
-    ++output_.waiting;
+    countWaiting(item);
     output_.waits.push_back({item.first, waiting ? wait_cause::Preempting : wait_cause::NoRoom});
     if (waiting) {
         applyClaim(claims_.at(item.first), 1);
@@ -208,6 +208,13 @@
         reserveRack(item);
 }
 
+void scheduler::pass::countWaiting(const unit &item)
+{
+    ++output_.waiting;
+    if (item.job->source.priority == 0)
+        ++output_.urgentWaiting;
+}
+
 bool scheduler::pass::isDominated(const unit &item) const
 {
     const auto need = item.spec->charged();
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -54,6 +54,7 @@
 
     // scheduler-pass.cc
     void scheduleUnit(const unit &item);
+    void countWaiting(const unit &item);
     std::vector<slot> place(const unit &item) const;
     std::vector<slot> placeInRack(const unit &item, bool &possible) const;
     std::vector<std::size_t> candidates(const unit &item,
@@ -84,6 +85,7 @@
     // preemption.cc
     void collectVictims();
     bool preempt(const unit &item);
+    std::vector<placement_option> cheapestAnywhere(const unit &item) const;
     bool mayPreempt(const unit &item, const victim &candidate) const;
     double lostSeconds(const assignment &run, const step_spec &spec) const;
     bool isAvailable(const task_id &task) const;
@@ -111,6 +113,7 @@
     std::vector<unplaceable_need> unplaceableNeeds_;
     std::vector<victim> victims_;
     std::vector<std::vector<std::size_t>> victimsOn_; // by worker
+    std::vector<std::size_t> byVictimCost_; // workers, the cheapest to vacate first
     bool victimsReady_ = false;
     std::size_t preemptions_ = 0;
     schedule_output output_;
