Hold answers for no more than a fifth of a lease

Cause, found by reading: a lease counts from the sending of a heartbeat and is renewed by the answer to the next one, which may be held as well. A deployment with a lease of a second would see its runs lapse: 650 ms of holding, the next heartbeat, and 650 ms again.

Change: the limit is the smaller of 650 ms and a fifth of the lease.

--- a/packages/batch/src/controller-orders.cc
+++ b/packages/batch/src/controller-orders.cc
@@ -15,6 +15,10 @@
 
 namespace {
 
+// A lease counts from the sending of a heartbeat and is renewed by the answer to the next one,
+// which may be held as well. So a lease has to outlast several times for which answers are held.
+constexpr int holdsInLease = 5;
+
 // Shortest time between an answer that was held and the next heartbeat.
 constexpr milliseconds minRetry {20};
 
@@ -140,6 +144,7 @@
                  milliseconds {spec.estimateMs}}));
     }
     auto limits = options_.hold;
+    limits.longest = std::min(limits.longest, options_.lease / holdsInLease);
     limits.longest -= std::chrono::duration_cast<milliseconds>(now_ - worker.lastHeartbeat);
     if (worker.report.clockMs != 0)
         limits.longest -= milliseconds {millisecondsOf(worker.lastHeartbeat.time_since_epoch())
--- a/packages/batch/test/report_router-test.cc
+++ b/packages/batch/test/report_router-test.cc
@@ -291,6 +291,20 @@
     CHECK_TRUE(answers["w1"].front().leaseMs > 0);
 }
 
+// Guards against runs that lapse because the answers that renew a short lease are held.
+TEST(HeldReports, holdsNoLongerThanAShortLeaseAllows)
+{
+    auto options = leader_fixture::options();
+    options.lease = milliseconds {1000};
+    leader_fixture shortLease(options);
+    worker_orders orders;
+    shortLease.workers.heartbeat(
+            shortLease.now, shortLease.wallMs, shortLease.report("w1"),
+            [&](const result<worker_orders> &done) { orders = valueOf(done); },
+            answer_mode::MayBeHeld);
+    CHECK_EQUAL(200, orders.holdMs);
+}
+
 // Guards against work that goes on after it was cancelled.
 TEST(HeldReports, cancelledJobIsStoppedWithoutAnotherHeartbeat)
 {
