--- a/packages/batch/test/fixture.h
+++ b/packages/batch/test/fixture.h
@@ -116,6 +116,28 @@
         return failed(outcome) ? worker_orders {} : valueOf(outcome);
     }
 
+    // Starts the tasks of one step on worker w1 and returns a heartbeat in which they are running.
+    worker_report startOnWorker(const step_spec &step)
+    {
+        configure(1);
+        submit("/q1/a", step);
+        sendHeartbeat(report("w1"));
+        advance(100);
+        const auto orders = sendHeartbeat(report("w1"));
+        CHECK_EQUAL(step.count, orders.starts.size());
+        auto running = report("w1");
+        for (const auto &order : orders.starts)
+            running.running.push_back({order.task, order.run, "", 10, 0});
+        sendHeartbeat(running);
+        return running;
+    }
+
+    worker_orders sendNextHeartbeat(worker_report value)
+    {
+        value.sequence = ++sequence;
+        return sendHeartbeat(value);
+    }
+
     void advance(std::int64_t ms)
     {
         now += milliseconds {ms};
