Let each stand-in worker look for the next scheduler by itself

The logs of a failing run show it: the new leader began its term, and no worker joined it (workers=0). The product did as it should; no order was sent twice.

Change: the index belongs to each worker. PERSIMMON_KEEP keeps the logs of the process tests.

--- a/packages/system/test/batch-test.cc
+++ b/packages/system/test/batch-test.cc
@@ -63,7 +63,9 @@
         gateway_.killNow();
         for (auto &item : processes_)
             item.second.killNow();
-        std::filesystem::remove_all(folder_);
+        // PERSIMMON_KEEP keeps the logs of a failing run.
+        if (std::getenv("PERSIMMON_KEEP") == nullptr)
+            std::filesystem::remove_all(folder_);
     }
 
     void startScheduler(int number, bool bootstrap)
@@ -192,6 +194,7 @@
     {
         std::int64_t sentMs = 0;
         std::future<http_response> answer;
+        int target = 0; // each worker looks for the next node by itself
     };
 
     void exchangeHeartbeat(platform::standin_fleet &fleet, platform::standin_worker &worker)
@@ -204,7 +207,7 @@
             if (answer.status == 200)
                 fleet.receive(worker, waiting.sentMs, nowMs(), answer.body);
             else
-                ++targetIndex_;
+                ++waiting.target;
             nextHeartbeatMs_[worker.id] = nowMs() + 50;
             return;
         }
@@ -213,7 +216,7 @@
         waiting.sentMs = nowMs();
         waiting.answer = std::async(
                 std::launch::async,
-                [target = scheduler(targetIndex_ % schedulers), path = "/instances/" + worker.id,
+                [target = scheduler(waiting.target % schedulers), path = "/instances/" + worker.id,
                  body = fleet.heartbeat(worker, waiting.sentMs)] {
                     return call(target, "PUT", path, body, {}, milliseconds {950});
                 });
@@ -253,7 +256,6 @@
     process gateway_;
     std::map<std::string, std::int64_t> nextHeartbeatMs_;
     std::map<std::string, outstanding_heartbeat> outstanding_; // by worker
-    int targetIndex_ = 0;
     std::int64_t lastStepMs_ = 0;
 };
 
