--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -20,8 +20,8 @@
     milliseconds lease {5000}; // lease of the runs on a worker
     milliseconds idleHeartbeatPeriod {250}; // with few workers and no pending work
     milliseconds busyHeartbeatPeriod {100}; // while orders or waiting tasks are expected
-    // Both periods grow with the number of workers, up to maxHeartbeatPeriod, so that the leader
-    // takes at most 4,000 heartbeats a second.
+    // Both periods grow with the number of workers, up to maxHeartbeatPeriod. Until then the leader
+    // takes about 4,000 heartbeats a second at most, beyond it more with each worker.
     std::chrono::microseconds heartbeatPeriodPerWorker {250};
     hold_limits hold; // of answers that need no orders
     milliseconds maxHeartbeatPeriod {1000};
