Log the loss of a worker and each run that is lost with it

Cause: logs could not distinguish the hypotheses: an inferred end named its job but not its task, a worker that came back under its own id ended its runs without a line, and nothing said how the leader knew of a loss. Change: worker_loss with its evidence (silent, restarted, replaced, left), logged as worker.lost, and task.ended for each run. The decisions are the same.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -7,6 +7,7 @@
 #include "batch/pacer.h"
 #include "batch/scheduler.h"
 #include "batch/worker.h"
+#include "batch/worker_loss.h"
 
 #include <deque>
 #include <functional>
@@ -145,6 +146,14 @@
         std::optional<std::uint64_t> ackedUpTo;
     };
 
+    // Incarnation of a worker that was followed by a newer one.
+    struct earlier_incarnation
+    {
+        time_point lastHeartbeat {};
+        bool leaving = false; // it was draining or had announced its departure
+        std::map<task_id, tracked_run> runs; // as last reported
+    };
+
     struct worker_state
     {
         worker_report report;
@@ -157,6 +166,8 @@
         std::set<std::string> failedJobs; // since the last run that succeeded
         std::optional<time_point> lastDone; // newest success
         std::optional<time_point> leftAt;
+        bool replaced = false; // it left because a newer worker has reported from its address
+        std::optional<earlier_incarnation> earlier;
         std::map<task_id, tracked_run> runs;
         // Runs that the worker doesn't list: the run number, and since when.
         std::map<task_id, std::pair<std::uint32_t, time_point>> missing;
@@ -182,6 +193,9 @@
     std::vector<run_end> collectEnds(worker_state &worker, time_point now);
     void updateRunning(worker_state &worker, time_point now, std::chrono::microseconds silence);
     void updateMissing(worker_state &worker, time_point now, std::vector<run_end> &ends) const;
+    void endRunsOfEarlierIncarnation(const worker_state &worker, time_point now,
+                                     std::vector<run_end> &ends) const;
+    worker_loss lossOf(const std::string &worker, std::vector<assignment> runs) const;
     void recordEnd(worker_state &worker, const ended_task &row, time_point now);
     milliseconds heartbeatPeriod(bool busy) const;
     worker_orders ordersFor(worker_state &worker);
--- /dev/null
+++ b/packages/batch/include/batch/worker_loss.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/clock.h"
+#include "batch/ledger.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmon::batch {
+
+// How a worker with active runs was found to be lost.
+enum class loss_evidence : std::uint8_t {
+    Silent, // its lease has expired without a heartbeat
+    Restarted, // a newer incarnation reports under its id
+    Replaced, // a newer worker reports from its address
+    Left, // it was draining or has announced its departure
+};
+
+std::string_view toName(loss_evidence evidence);
+
+// A lost worker and the runs that were active on it.
+struct worker_loss
+{
+    std::string worker;
+    std::int64_t incarnation = 0;
+    loss_evidence evidence = loss_evidence::Silent;
+    time_point lastHeartbeat {};
+    std::vector<assignment> runs;
+    std::size_t unreportedRuns = 0; // of them, those that the worker had not reported as running
+};
+
+// Logs a lost worker and the inferred end of each of its runs.
+void logLoss(const worker_loss &loss, time_point now);
+
+} // namespace persimmon::batch
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -69,6 +69,7 @@
                 = isKnown ? found->second.lastHeartbeat : termStart_ + options_.leaderLease;
         if (!gone && lastHeartbeat + lease + leaseMargin > now)
             continue;
+        std::vector<assignment> expired;
         for (const auto &[task, run] : active.runs) {
             if (!committingEnds_.insert(task).second)
                 continue;
@@ -76,15 +77,10 @@
             if (isKnown && found->second.runs.contains(task))
                 checkpoint = found->second.runs.at(task).checkpoint;
             ends.push_back({task, run.run, gone ? end_kind::Lost : end_kind::Lapsed, checkpoint});
-            logEvent("task.ended",
-                     {{"job", task.job},
-                      {"run", run.run},
-                      {"worker", worker},
-                      {"how", toName(ends.back().kind)},
-                      {"silent_ms",
-                       std::chrono::duration_cast<milliseconds>(now - lastHeartbeat).count()},
-                      {"outcome", "inferred"}});
+            expired.push_back(run);
         }
+        if (!expired.empty())
+            logLoss(lossOf(worker, std::move(expired)), now);
     }
     if (ends.empty())
         return;
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -169,8 +169,13 @@
                   {"born", report.incarnation},
                   {"earlier_born", worker.report.incarnation},
                   {"rack", report.rack}});
+        std::optional<earlier_incarnation> earlier;
+        if (worker.report.incarnation != 0)
+            earlier = {worker.lastHeartbeat, worker.report.draining || worker.leftAt,
+                       std::move(worker.runs)};
         worker = {};
         worker.firstHeartbeat = now;
+        worker.earlier = std::move(earlier);
     } else if (report.draining && !worker.report.draining) {
         logEvent("worker.draining", {{"worker", report.id}, {"born", report.incarnation}});
     } else if (report.sequence == worker.report.sequence) {
@@ -186,6 +191,7 @@
             = newIncarnation ? std::chrono::microseconds {0} : now - worker.lastHeartbeat;
     worker.lastHeartbeat = now;
     worker.leftAt.reset();
+    worker.replaced = false;
     worker.held.reset();
     updateRunning(worker, now, silence);
     updatePace(worker, now);
@@ -240,8 +246,10 @@
             return;
         logEvent("worker.replaced",
                  {{"worker", holder}, {"by", report.id}, {"address", report.address}});
-        if (!earlier->second.leftAt)
+        if (!earlier->second.leftAt) {
             earlier->second.leftAt = now;
+            earlier->second.replaced = true;
+        }
     }
     holder = report.id;
 }
@@ -337,11 +345,10 @@
     const auto &report = worker.report;
     auto earlier = std::move(worker.missing);
     worker.missing.clear();
+    endRunsOfEarlierIncarnation(worker, now, ends);
     for (const auto &[task, run] : state_.runsOn(report.id)) {
-        if (run.incarnation < report.incarnation) {
-            ends.push_back({task, run.run, end_kind::Lost, {}});
+        if (run.incarnation < report.incarnation)
             continue;
-        }
         const auto running = worker.runs.find(task);
         const bool listed = running != worker.runs.end() && running->second.run == run.run;
         const bool ended = contains(ends, run);
