--- /dev/null
+++ b/packages/batch/test/crash_fleet.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "fixture.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace persimmon::batch {
+
+// What becomes of a worker that has crashed.
+enum class crash_return : std::uint8_t { AtItsAddress, UnderItsId, Never };
+
+// Workers that run the tasks of a leader and crash under some of them, in steps of simulated time.
+class crash_fleet
+{
+public:
+    struct options
+    {
+        int workers = 12;
+        int workersInRack = 4;
+        crash_return comesBack = crash_return::AtItsAddress;
+        std::int64_t downMs = 3000;
+        std::int64_t taskMs = 2000; // duration of a task
+    };
+
+    explicit crash_fleet(options values)
+        : options_(values)
+    {
+        for (int i = 0; i < options_.workers; ++i)
+            boot(workers_.emplace_back(), i);
+    }
+
+    // Sets the tasks that crash each worker that starts them.
+    void crashUnder(std::function<bool(const task_id &)> deadly) { deadly_ = std::move(deadly); }
+
+    void run(std::int64_t ms)
+    {
+        for (; ms > 0; ms -= stepMs) {
+            leader.advance(stepMs);
+            for (auto &worker : workers_)
+                step(worker);
+        }
+    }
+
+    // Crashes the workers of a range at once, for a cause that is outside of them.
+    void crashRange(int first, int count)
+    {
+        for (int i = first; i < first + count; ++i)
+            crash(workers_[static_cast<std::size_t>(i)]);
+    }
+
+    // Lets another leader take over, which knows only the ledger.
+    void changeLeader()
+    {
+        leader.workers.endTerm();
+        leader.workers.beginTerm(++term_, leader.now);
+    }
+
+    int startsOf(const task_id &task) const
+    {
+        const auto found = starts_.find(task);
+        return found == starts_.end() ? 0 : found->second;
+    }
+
+    // Returns the number of workers that have crashed under a task that isn't to blame.
+    int crashesOfOthers() const { return lostBystanders_; }
+
+    // Returns how often a start has exceeded the capacity that its worker had reported.
+    int overfullStarts() const { return overfullStarts_; }
+
+    leader_fixture leader;
+
+private:
+    static constexpr std::int64_t stepMs = 50;
+
+    struct running
+    {
+        std::uint32_t run = 0;
+        std::int64_t sinceMs = 0;
+    };
+
+    struct worker
+    {
+        int place = 0;
+        worker_report report; // as sent next
+        bool up = false;
+        std::int64_t backAtMs = 0;
+        std::uint64_t ends = 0;
+        std::map<task_id, running> tasks;
+    };
+
+    void boot(worker &item, int place)
+    {
+        const auto id = item.report.id;
+        item = {};
+        item.place = place;
+        item.up = true;
+        auto &report = item.report;
+        report.id = !id.empty() && options_.comesBack == crash_return::UnderItsId
+                ? id
+                : "w" + std::to_string(++boots_);
+        report.incarnation = ++incarnation_;
+        report.address = "10.0.0.1:" + std::to_string(place);
+        report.pool = "pool";
+        report.rack = "rack-" + std::to_string(place / options_.workersInRack);
+        report.capacity = {8000, 8000, 8};
+    }
+
+    void crash(worker &item)
+    {
+        item.up = false;
+        item.backAtMs = leader.wallMs + options_.downMs;
+        item.tasks.clear();
+    }
+
+    void end(worker &item, const task_id &task, end_kind kind)
+    {
+        item.report.ended.push_back({++item.ends, task, item.tasks.at(task).run, kind, ""});
+        item.tasks.erase(task);
+    }
+
+    void endCompletedTasks(worker &item)
+    {
+        std::vector<task_id> completed;
+        for (const auto &[task, state] : item.tasks) {
+            if (leader.wallMs - state.sinceMs >= options_.taskMs)
+                completed.push_back(task);
+        }
+        for (const auto &task : completed)
+            end(item, task, end_kind::Done);
+    }
+
+    void step(worker &item)
+    {
+        if (!item.up && options_.comesBack != crash_return::Never && leader.wallMs >= item.backAtMs)
+            boot(item, item.place);
+        if (!item.up)
+            return;
+        endCompletedTasks(item);
+        auto &report = item.report;
+        ++report.sequence;
+        report.running.clear();
+        for (const auto &[task, state] : item.tasks) {
+            const auto percent = (leader.wallMs - state.sinceMs) * 100 / options_.taskMs;
+            report.running.push_back({task, state.run, "", static_cast<std::uint32_t>(percent), 0});
+        }
+        follow(item, leader.sendHeartbeat(report));
+    }
+
+    void follow(worker &item, const worker_orders &orders)
+    {
+        std::erase_if(item.report.ended, [&](const ended_task &ended) {
+            return ended.sequence <= orders.ackedUpTo.value_or(0);
+        });
+        for (const auto &stop : orders.stops) {
+            const auto found = item.tasks.find(stop.task);
+            if (found != item.tasks.end() && found->second.run == stop.run)
+                end(item, stop.task, end_kind::Stopped);
+        }
+        bool crashes = false;
+        for (const auto &start : orders.starts) {
+            ++starts_[start.task];
+            item.tasks[start.task] = {start.run, leader.wallMs};
+            crashes |= deadly_(start.task);
+        }
+        checkCapacity(item, orders);
+        if (!crashes)
+            return;
+        for (const auto &[task, state] : item.tasks)
+            lostBystanders_ += deadly_(task) ? 0 : 1;
+        crash(item);
+    }
+
+    void checkCapacity(const worker &item, const worker_orders &orders)
+    {
+        auto available = item.report.capacity;
+        for (const auto &[task, state] : item.tasks)
+            available -= leader.state.findJob(task.job)->spec.steps[task.step].charged();
+        const bool overfull
+                = available.cpu < 0 || available.memory < 0 || available.accelerators < 0;
+        overfullStarts_ += overfull && !orders.starts.empty() ? 1 : 0;
+    }
+
+    options options_;
+    std::vector<worker> workers_;
+    std::function<bool(const task_id &)> deadly_ = [](const task_id &) { return false; };
+    std::map<task_id, int> starts_;
+    int lostBystanders_ = 0;
+    int overfullStarts_ = 0;
+    int boots_ = 0;
+    std::int64_t incarnation_ = 1000;
+    std::uint64_t term_ = 1;
+};
+
+} // namespace persimmon::batch
