Count the workers that are lost under a task, and give up a task that crashes them

Callers saw: one job crashed worker after worker (nine in 40 s), each for three seconds, and 34 runs were lost with them. Cause: only reported ends counted against a task. A worker that crashes reports nothing, so the loss of a worker was nobody's doing on every path (new id at the address, newer incarnation, silence, new leader), and the task went back to the queue beside others. Change: the ledger counts losses by run, committed before the end of the run is; loss_attribution decides between suspected, crashed and excused; the scheduler keeps suspects apart and, after two losses, alone. Given up after three confirmed crashes, one of them alone, or after four.

--- a/packages/apps/src/batch_metrics.cc
+++ b/packages/apps/src/batch_metrics.cc
@@ -59,6 +59,9 @@
         case batch::ledger_event_kind::RunEnded:
             runsTotal_.Add({{"how", std::string(batch::toName(event.endKind))}}).Increment();
             return;
+        case batch::ledger_event_kind::RunLost:
+            lostRunsTotal_.Add({{"kind", std::string(batch::toName(event.lossKind))}}).Increment();
+            return;
         }
     }
 
@@ -111,6 +114,9 @@
     prometheus::Family<prometheus::Counter> &runsTotal_
             = familyOf(registry_, prometheus::BuildCounter(), "persimmon_runs_total",
                        "Ended runs of tasks by how they ended");
+    prometheus::Family<prometheus::Counter> &lostRunsTotal_
+            = familyOf(registry_, prometheus::BuildCounter(), "persimmon_lost_runs_total",
+                       "Runs whose worker was lost, by what is known of the cause");
     prometheus::Family<prometheus::Counter> &callsTotal_
             = familyOf(registry_, prometheus::BuildCounter(), "persimmon_calls_total",
                        "Answered calls by kind and HTTP status");
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -4,10 +4,10 @@
 #include "batch/hold_policy.h"
 #include "batch/latency_stage.h"
 #include "batch/ledger.h"
+#include "batch/loss_attribution.h"
 #include "batch/pacer.h"
 #include "batch/scheduler.h"
 #include "batch/worker.h"
-#include "batch/worker_loss.h"
 
 #include <deque>
 #include <functional>
@@ -189,13 +189,20 @@
     bool isLate(const worker_state &worker, const worker_report &report, time_point now) const;
     void updateClockOffset(worker_state &worker, time_point now, std::int64_t wallMs,
                            bool first) const;
-    void updateAddress(const worker_report &report, time_point now);
+    void updateAddress(const worker_report &report, time_point now, std::int64_t wallMs);
     std::vector<run_end> collectEnds(worker_state &worker, time_point now);
     void updateRunning(worker_state &worker, time_point now, std::chrono::microseconds silence);
     void updateMissing(worker_state &worker, time_point now, std::vector<run_end> &ends) const;
-    void endRunsOfEarlierIncarnation(const worker_state &worker, time_point now,
-                                     std::vector<run_end> &ends) const;
+    std::vector<worker_loss> endRunsOfEarlierIncarnation(const worker_state &worker,
+                                                         std::vector<run_end> &ends) const;
     worker_loss lossOf(const std::string &worker, std::vector<assignment> runs) const;
+    bool mayHaveCrashedWorker(const assignment &run, const worker_loss &loss,
+                              const std::map<task_id, tracked_run> &reported) const;
+    std::vector<worker_loss> silentWorkers(time_point now) const;
+    void recordLosses(std::vector<lost_run> runs, std::int64_t wallMs,
+                      std::function<void(status)> done);
+    void commitLosses(std::vector<worker_loss> losses, std::vector<run_end> ends, time_point now,
+                      std::int64_t wallMs, std::function<void(status)> done);
     void recordEnd(worker_state &worker, const ended_task &row, time_point now);
     milliseconds heartbeatPeriod(bool busy) const;
     worker_orders ordersFor(worker_state &worker);
@@ -234,6 +241,7 @@
     controller_options options_;
     propose_function propose_;
     scheduler scheduler_;
+    loss_attribution attribution_;
     std::uint64_t term_ = 0; // 0: not leading
     time_point termStart_ {};
     std::map<std::string, worker_state> workers_;
--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -31,6 +31,23 @@
     friend bool operator==(const run_end &, const run_end &) = default;
 };
 
+// What is known of a run whose worker was lost under it.
+enum class run_loss : std::uint8_t {
+    Suspected, // the worker is silent: it has crashed, or is only cut off
+    Crashed, // the worker has started again
+    Excused, // the worker was lost for another cause, or is not lost at all
+};
+
+struct lost_run
+{
+    task_id task;
+    std::uint32_t run = 0;
+    run_loss kind = run_loss::Suspected;
+    bool alone = false; // only tasks of this job were running on the worker
+
+    friend bool operator==(const lost_run &, const lost_run &) = default;
+};
+
 // Commands of the replicated ledger.
 struct set_configuration
 {
@@ -83,6 +100,14 @@
     std::int64_t incarnation = 0; // newest incarnation seen on the machine, 0: none
 };
 
+// Counts lost workers against the tasks that they ran. What is known of a run may be corrected by a
+// later command; an excuse is final.
+struct record_losses
+{
+    std::vector<lost_run> runs;
+    std::int64_t wallMs = 0;
+};
+
 // Has no effect on the state. Serves as a barrier: once it is applied, the outcome of all earlier
 // proposals is final.
 struct no_op
@@ -90,7 +115,7 @@
 };
 
 using command = std::variant<no_op, set_configuration, accept_job, cancel_job, start_runs, end_runs,
-                             remove_ended_jobs, start_wave, set_upkeep_phase>;
+                             remove_ended_jobs, start_wave, set_upkeep_phase, record_losses>;
 
 struct task_state
 {
@@ -116,11 +141,30 @@
     bool done() const { return doneCount == tasks.size(); }
 };
 
+// The workers that were lost under a task.
+struct loss_record
+{
+    struct entry
+    {
+        run_loss kind = run_loss::Suspected;
+        bool alone = false;
+    };
+
+    std::map<std::uint32_t, entry> runs; // by run number
+    std::int64_t newestMs = 0; // when the newest loss was recorded, in Unix milliseconds
+
+    // Returns the number of losses that aren't excused.
+    std::uint32_t counted() const;
+
+    // Returns whether the task is taken for the cause of the losses.
+    bool isConclusive() const;
+};
+
 // Entry in the history of a job, kept to explain the job to operators.
 struct job_event
 {
     std::int64_t atMs = 0; // Unix milliseconds
-    std::string kind; // accepted, started, ended, closed
+    std::string kind; // accepted, started, ended, lost, closed
     std::string reason; // how a run or the job ended, otherwise "-"
     std::uint32_t run = 0;
     std::string detail; // task and worker
@@ -169,7 +213,7 @@
     bool done() const;
 };
 
-enum class ledger_event_kind : std::uint8_t { JobBegun, JobEnded, RunEnded };
+enum class ledger_event_kind : std::uint8_t { JobBegun, JobEnded, RunEnded, RunLost };
 
 // Describes a change of state, for metrics and logs.
 struct ledger_event
@@ -177,6 +221,7 @@
     ledger_event_kind kind = ledger_event_kind::JobBegun;
     const job_record *job = nullptr;
     end_kind endKind = end_kind::Done; // how the run ended; only for RunEnded
+    run_loss lossKind = run_loss::Suspected; // only for RunLost
 };
 
 // Replicated state machine: the configuration, all jobs, their active runs, and the upkeep waves.
@@ -224,6 +269,12 @@
     // Returns the number of open jobs of a queue for which no run was ever ordered.
     std::size_t waitingJobs(std::string_view queueName) const;
 
+    // Returns the tasks of open jobs under which workers were lost.
+    const std::map<task_id, loss_record> &losses() const { return losses_; }
+
+    // Returns the number of losses of workers that count against a task.
+    std::uint32_t countedLosses(const task_id &task) const;
+
     // Returns the retained waves by id, including completed ones.
     const std::map<std::uint64_t, wave_record> &waves() const { return waves_; }
 
@@ -239,6 +290,7 @@
     void handle(const remove_ended_jobs &input);
     void handle(const start_wave &input);
     void handle(const set_upkeep_phase &input);
+    void handle(const record_losses &input);
 
     void start(const assignment &run, std::int64_t wallMs);
     static void appendEvent(job_record &job, job_event event);
@@ -247,6 +299,7 @@
     static bool countFailure(const job_record &job, const step_spec &spec, step_state &step,
                              task_state &task);
     void closeJob(job_record &job, job_state state, std::int64_t wallMs);
+    void recordLoss(const lost_run &lost, std::int64_t wallMs);
     void rebuildIndexes();
     task_state *findTask(const task_id &id);
 
@@ -256,6 +309,7 @@
     configuration configuration_;
     std::map<std::string, job_record> jobs_;
     std::map<std::uint64_t, wave_record> waves_;
+    std::map<task_id, loss_record> losses_;
     std::function<void(const ledger_event &)> observer_ = [](const ledger_event &) {};
 
     // Indexes derived from the jobs.
@@ -269,6 +323,7 @@
 
 // Returns a stable lower-case name for logs.
 std::string_view toName(upkeep_phase phase);
+std::string_view toName(run_loss kind);
 
 // Encodes a command for the log.
 consensus::byte_buffer encode(const command &value);
--- /dev/null
+++ b/packages/batch/include/batch/loss_attribution.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "batch/worker_loss.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace persimmon::batch {
+
+// Decides which runs are to be blamed for the loss of their worker. A worker that is lost together
+// with others that ran other jobs, most of which had not just begun a run, was lost to a common
+// cause, such as power or the network: nobody is blamed. Keeps the recent losses, because the
+// others may be found later, and because a silent worker may turn out to be running.
+class loss_attribution
+{
+public:
+    // Adds losses that were found at the same time. `silent` are other workers that are silent now
+    // and may be lost too. Returns what is known of the runs, also of those of earlier losses if
+    // that has changed.
+    std::vector<lost_run> add(std::vector<worker_loss> losses, std::span<const worker_loss> silent,
+                              time_point now);
+
+    // Records that a worker that was given up as silent has started again, or wasn't lost.
+    std::vector<lost_run> recordRestart(const std::string &worker, std::int64_t incarnation);
+    std::vector<lost_run> recordReturn(const std::string &worker, std::int64_t incarnation);
+
+    // Drops all losses. Called when a term begins.
+    void reset() { recent_.clear(); }
+
+private:
+    struct entry
+    {
+        worker_loss loss;
+        time_point foundAt {};
+        bool excused = false;
+    };
+
+    bool isKnown(const std::string &worker, std::int64_t incarnation) const;
+    std::vector<const worker_loss *> lostTogether(const worker_loss &loss,
+                                                  std::span<const worker_loss> silent) const;
+    void excuse(const worker_loss &loss, std::vector<lost_run> &runs);
+    void prune(time_point now);
+
+    std::multimap<std::string, entry> recent_; // by worker
+};
+
+} // namespace persimmon::batch
--- a/packages/batch/include/batch/worker_loss.h
+++ b/packages/batch/include/batch/worker_loss.h
@@ -4,6 +4,7 @@
 #include "batch/ledger.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,7 +29,10 @@
     loss_evidence evidence = loss_evidence::Silent;
     time_point lastHeartbeat {};
     std::vector<assignment> runs;
+    std::vector<assignment> suspects; // of them, those that may have crashed the worker
     std::size_t unreportedRuns = 0; // of them, those that the worker had not reported as running
+
+    std::set<std::string> jobs() const; // of all runs
 };
 
 // Logs a lost worker and the inferred end of each of its runs.
--- a/packages/batch/src/controller-losses.cc
+++ b/packages/batch/src/controller-losses.cc
@@ -1,6 +1,9 @@
+#include "base/event_log.h"
 #include "batch/controller.h"
+#include "controller-detail.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 // Lost workers: what ends their runs, and what is recorded of it.
@@ -8,6 +11,10 @@
 
 namespace {
 
+// A task crashes its worker as it starts or while it works, so a run that has worked for this long
+// isn't suspected.
+constexpr std::chrono::minutes suspicionTime {10};
+
 template <typename Runs>
 std::size_t countUnreported(const std::vector<assignment> &runs, const Runs &reported)
 {
@@ -22,37 +29,71 @@
 // Describes the loss of a worker. Nothing is known of a worker that has not reported in this term.
 worker_loss controller::lossOf(const std::string &worker, std::vector<assignment> runs) const
 {
+    static const std::map<task_id, tracked_run> none;
     worker_loss loss;
     loss.worker = worker;
     loss.incarnation = runs.front().incarnation;
     loss.lastHeartbeat = termStart_;
     loss.runs = std::move(runs);
-    const auto found = workers_.find(worker);
-    if (found == workers_.end())
-        return loss;
-    const auto &state = found->second;
-    if (state.report.incarnation > loss.incarnation) {
-        loss.evidence = loss_evidence::Restarted;
-        if (state.earlier) {
+    const auto *reported = &none;
+    if (const auto found = workers_.find(worker); found != workers_.end()) {
+        const auto &state = found->second;
+        const bool restarted = state.report.incarnation > loss.incarnation;
+        bool leaving = cordonedMachines_.contains(state.report.machine);
+        if (restarted && state.earlier) {
             loss.lastHeartbeat = state.earlier->lastHeartbeat;
-            loss.unreportedRuns = countUnreported(loss.runs, state.earlier->runs);
-            if (state.earlier->leaving)
-                loss.evidence = loss_evidence::Left;
+            reported = &state.earlier->runs;
+            leaving |= state.earlier->leaving;
+        } else if (!restarted) {
+            loss.lastHeartbeat = state.lastHeartbeat;
+            reported = &state.runs;
+            leaving |= state.report.draining || (state.leftAt && !state.replaced);
         }
-        return loss;
+        if (leaving)
+            loss.evidence = loss_evidence::Left;
+        else if (restarted)
+            loss.evidence = loss_evidence::Restarted;
+        else if (state.replaced)
+            loss.evidence = loss_evidence::Replaced;
+        loss.unreportedRuns = countUnreported(loss.runs, *reported);
     }
-    loss.lastHeartbeat = state.lastHeartbeat;
-    loss.unreportedRuns = countUnreported(loss.runs, state.runs);
-    if (state.report.draining || (state.leftAt && !state.replaced))
-        loss.evidence = loss_evidence::Left;
-    else if (state.replaced)
-        loss.evidence = loss_evidence::Replaced;
+    std::ranges::copy_if(loss.runs, std::back_inserter(loss.suspects), [&](const assignment &run) {
+        return mayHaveCrashedWorker(run, loss, *reported);
+    });
     return loss;
 }
 
+bool controller::mayHaveCrashedWorker(const assignment &run, const worker_loss &loss,
+                                      const std::map<task_id, tracked_run> &reported) const
+{
+    if (unsentOrders_.contains({run.task, run.run}))
+        return false;
+    const auto tracked = reported.find(run.task);
+    return tracked == reported.end() || tracked->second.run != run.run
+            || loss.lastHeartbeat - tracked->second.started < suspicionTime;
+}
+
+// Returns the workers that are silent and haven't announced that they leave.
+std::vector<worker_loss> controller::silentWorkers(time_point now) const
+{
+    std::vector<worker_loss> silent;
+    for (const auto &[id, worker] : workers_) {
+        if (worker.leftAt || worker.report.draining || !isHeartbeatOverdue(worker, now))
+            continue;
+        auto &loss = silent.emplace_back();
+        loss.worker = id;
+        loss.incarnation = worker.report.incarnation;
+        loss.lastHeartbeat = worker.lastHeartbeat;
+        for (const auto &[task, run] : state_.runsOn(id))
+            loss.runs.push_back(run);
+        loss.unreportedRuns = countUnreported(loss.runs, worker.runs);
+    }
+    return silent;
+}
+
 // A newer incarnation knows nothing of the runs of an earlier one.
-void controller::endRunsOfEarlierIncarnation(const worker_state &worker, time_point now,
-                                             std::vector<run_end> &ends) const
+std::vector<worker_loss> controller::endRunsOfEarlierIncarnation(const worker_state &worker,
+                                                                 std::vector<run_end> &ends) const
 {
     std::vector<assignment> lost;
     for (const auto &[task, run] : state_.runsOn(worker.report.id)) {
@@ -61,8 +102,56 @@
         ends.push_back({task, run.run, end_kind::Lost, {}});
         lost.push_back(run);
     }
+    std::vector<worker_loss> losses;
     if (!lost.empty())
-        logLoss(lossOf(worker.report.id, std::move(lost)), now);
+        losses.push_back(lossOf(worker.report.id, std::move(lost)));
+    return losses;
+}
+
+void controller::recordLosses(std::vector<lost_run> runs, std::int64_t wallMs,
+                              std::function<void(status)> done)
+{
+    if (runs.empty())
+        return;
+    propose_(record_losses {runs, wallMs},
+             [this, runs, done = std::move(done),
+              alive = std::weak_ptr<int>(alive_)](const status &committed) {
+                 const bool current = !alive.expired();
+                 for (const auto &lost : runs)
+                     logEvent("task.loss",
+                              {{"job", lost.task.job},
+                               {"task", detail::nameOf(lost.task)},
+                               {"run", lost.run},
+                               {"kind", toName(lost.kind)},
+                               {"alone", lost.alone ? 1 : 0},
+                               {"counted", current ? state_.countedLosses(lost.task) : 0},
+                               {"outcome", failed(committed) ? "not committed" : "committed"}});
+                 if (done)
+                     done(committed);
+             });
+}
+
+// Commits what is known of the losses and then the ends of the runs. The order matters: a task
+// whose end is committed may be started again, and then its loss must not be forgotten.
+void controller::commitLosses(std::vector<worker_loss> losses, std::vector<run_end> ends,
+                              time_point now, std::int64_t wallMs, std::function<void(status)> done)
+{
+    for (const auto &loss : losses)
+        logLoss(loss, now);
+    auto runs = losses.empty() ? std::vector<lost_run> {}
+                               : attribution_.add(std::move(losses), silentWorkers(now), now);
+    if (runs.empty())
+        return commitEnds(std::move(ends), wallMs, std::move(done));
+    recordLosses(
+            std::move(runs), wallMs,
+            [this, ends = std::move(ends), wallMs, done = std::move(done),
+             alive = std::weak_ptr<int>(alive_)](const status &committed) {
+                if (failed(committed))
+                    return done(committed);
+                if (alive.expired())
+                    return done(error {result_code::NotLeader, "leadership has ended", {}, {}});
+                commitEnds(ends, wallMs, done);
+            });
 }
 
 } // namespace persimmon::batch
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -57,6 +57,7 @@
     const auto lease = milliseconds {
             static_cast<std::int64_t>(static_cast<double>(options_.lease.count()) * maxClockRatio)};
     std::vector<run_end> ends;
+    std::vector<worker_loss> losses;
     // Workers and busy workers are both ordered by id.
     auto found = workers_.begin();
     for (const auto &[worker, active] : state_.busyWorkers()) {
@@ -80,7 +81,7 @@
             expired.push_back(run);
         }
         if (!expired.empty())
-            logLoss(lossOf(worker, std::move(expired)), now);
+            losses.push_back(lossOf(worker, std::move(expired)));
     }
     if (ends.empty())
         return;
@@ -88,13 +89,13 @@
     tasks.reserve(ends.size());
     for (const auto &end : ends)
         tasks.push_back(end.task);
-    commitEnds(std::move(ends), wallMs,
-               [this, tasks, alive = std::weak_ptr<int>(alive_)](const status &) {
-                   if (alive.expired())
-                       return;
-                   for (const auto &task : tasks)
-                       committingEnds_.erase(task);
-               });
+    commitLosses(std::move(losses), std::move(ends), now, wallMs,
+                 [this, tasks, alive = std::weak_ptr<int>(alive_)](const status &) {
+                     if (alive.expired())
+                         return;
+                     for (const auto &task : tasks)
+                         committingEnds_.erase(task);
+                 });
 }
 
 // Workers report whole percentages, so a long run keeps the same one for long. One percent is
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -67,6 +67,7 @@
     sentOrders_.clear();
     loggedWaits_.clear();
     scheduler_.reset();
+    attribution_.reset();
     advice_ = {};
     missingTickets_.clear();
     adviceRequestInFlight_ = false;
@@ -124,6 +125,7 @@
         return done(std::move(*refusal));
     auto &worker = recordHeartbeat(now, wallMs, report);
     auto ends = collectEnds(worker, now);
+    auto losses = endRunsOfEarlierIncarnation(worker, ends);
     updateMissing(worker, now, ends);
     if (report.draining)
         stopDraining(worker);
@@ -153,7 +155,7 @@
               };
     if (ends.empty())
         return sendOrders(std::monostate {});
-    commitEnds(std::move(ends), wallMs, sendOrders);
+    commitLosses(std::move(losses), std::move(ends), now, wallMs, sendOrders);
 }
 
 controller::worker_state &controller::recordHeartbeat(time_point now, std::int64_t wallMs,
@@ -173,6 +175,7 @@
         if (worker.report.incarnation != 0)
             earlier = {worker.lastHeartbeat, worker.report.draining || worker.leftAt,
                        std::move(worker.runs)};
+        recordLosses(attribution_.recordRestart(report.id, worker.report.incarnation), wallMs, {});
         worker = {};
         worker.firstHeartbeat = now;
         worker.earlier = std::move(earlier);
@@ -184,9 +187,11 @@
                   {"born", report.incarnation},
                   {"sequence", report.sequence}});
     }
+    if (!newIncarnation)
+        recordLosses(attribution_.recordReturn(report.id, report.incarnation), wallMs, {});
     worker.report = report;
     updateClockOffset(worker, now, wallMs, newIncarnation);
-    updateAddress(report, now);
+    updateAddress(report, now, wallMs);
     const auto silence
             = newIncarnation ? std::chrono::microseconds {0} : now - worker.lastHeartbeat;
     worker.lastHeartbeat = now;
@@ -233,7 +238,7 @@
 }
 
 // A newer incarnation replaces the previous worker at the same address, even if its id differs.
-void controller::updateAddress(const worker_report &report, time_point now)
+void controller::updateAddress(const worker_report &report, time_point now, std::int64_t wallMs)
 {
     if (report.address.empty())
         return;
@@ -250,6 +255,8 @@
             earlier->second.leftAt = now;
             earlier->second.replaced = true;
         }
+        recordLosses(attribution_.recordRestart(holder, earlier->second.report.incarnation), wallMs,
+                     {});
     }
     holder = report.id;
 }
@@ -345,7 +352,6 @@
     const auto &report = worker.report;
     auto earlier = std::move(worker.missing);
     worker.missing.clear();
-    endRunsOfEarlierIncarnation(worker, now, ends);
     for (const auto &[task, run] : state_.runsOn(report.id)) {
         if (run.incarnation < report.incarnation)
             continue;
--- a/packages/batch/src/ledger-codec.cc
+++ b/packages/batch/src/ledger-codec.cc
@@ -9,8 +9,11 @@
 namespace {
 
 constexpr std::uint8_t commandFormat = 1;
-constexpr std::uint8_t snapshotFormat = 2;
-constexpr std::uint8_t snapshotFormatWithoutWaves = 1; // written by earlier versions
+constexpr std::uint8_t snapshotFormat = 3;
+
+// Formats that earlier versions have written.
+constexpr std::uint8_t snapshotFormatWithoutLosses = 2;
+constexpr std::uint8_t snapshotFormatWithoutWaves = 1;
 
 template <typename... Values>
 consensus::byte_buffer pack(std::uint8_t format, const Values &...values)
@@ -62,7 +65,7 @@
 
 consensus::byte_buffer ledger::snapshot() const
 {
-    return pack(snapshotFormat, configuration_, jobs_, waves_);
+    return pack(snapshotFormat, configuration_, jobs_, waves_, losses_);
 }
 
 status ledger::restore(consensus::byte_view snapshot)
@@ -70,7 +73,12 @@
     configuration readConfiguration;
     std::map<std::string, job_record> readJobs;
     std::map<std::uint64_t, wave_record> readWaves;
-    auto read = unpack(snapshot, snapshotFormat, readConfiguration, readJobs, readWaves);
+    std::map<task_id, loss_record> readLosses;
+    auto read
+            = unpack(snapshot, snapshotFormat, readConfiguration, readJobs, readWaves, readLosses);
+    if (failed(read))
+        read = unpack(snapshot, snapshotFormatWithoutLosses, readConfiguration, readJobs,
+                      readWaves);
     if (failed(read))
         read = unpack(snapshot, snapshotFormatWithoutWaves, readConfiguration, readJobs);
     if (failed(read))
@@ -78,6 +86,7 @@
     configuration_ = std::move(readConfiguration);
     jobs_ = std::move(readJobs);
     waves_ = std::move(readWaves);
+    losses_ = std::move(readLosses);
     rebuildIndexes();
     return std::monostate {};
 }
--- /dev/null
+++ b/packages/batch/src/loss_attribution.cc
@@ -0,0 +1,161 @@
+#include "batch/loss_attribution.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace persimmon::batch {
+
+namespace {
+
+// Workers whose last heartbeats are no further apart were lost together. A worker that crashes has
+// reported up to a heartbeat period before, or up to the time for which an answer is held.
+constexpr milliseconds togetherWindow {1500};
+
+// Fewer workers can be lost together by the tasks of several jobs.
+constexpr std::size_t minCommonCause = 3;
+
+// Time after which a loss can't be confirmed or excused any more.
+constexpr std::chrono::minutes retention {1};
+
+bool isTogether(const worker_loss &left, const worker_loss &right)
+{
+    return std::chrono::abs(left.lastHeartbeat - right.lastHeartbeat) <= togetherWindow;
+}
+
+// Returns whether one job had runs on all of the workers.
+bool haveCommonJob(std::span<const worker_loss *const> losses)
+{
+    const auto jobs = losses.front()->jobs();
+    return std::ranges::any_of(jobs, [&](const std::string &job) {
+        return std::ranges::all_of(losses, [&](const worker_loss *loss) {
+            return std::ranges::any_of(loss->runs,
+                                       [&](const assignment &run) { return run.task.job == job; });
+        });
+    });
+}
+
+bool isCommonCause(std::span<const worker_loss *const> losses)
+{
+    if (losses.size() < minCommonCause || haveCommonJob(losses))
+        return false;
+    const auto began = std::ranges::count_if(
+            losses, [](const worker_loss *loss) { return loss->unreportedRuns > 0; });
+    return static_cast<std::size_t>(began) * 2 < losses.size();
+}
+
+void append(const worker_loss &loss, run_loss kind, std::vector<lost_run> &runs)
+{
+    const bool alone = std::ranges::all_of(loss.suspects, [&](const assignment &run) {
+        return run.task.job == loss.suspects.front().task.job;
+    });
+    for (const auto &run : loss.suspects)
+        runs.push_back({run.task, run.run, kind, alone});
+}
+
+} // namespace
+
+std::vector<lost_run> loss_attribution::add(std::vector<worker_loss> losses,
+                                            std::span<const worker_loss> silent, time_point now)
+{
+    prune(now);
+    std::vector<lost_run> runs;
+    std::vector<std::multimap<std::string, entry>::const_iterator> added;
+    for (auto &loss : losses) {
+        if (loss.evidence == loss_evidence::Left)
+            continue;
+        if (isKnown(loss.worker, loss.incarnation)) {
+            if (loss.evidence != loss_evidence::Silent)
+                std::ranges::copy(recordRestart(loss.worker, loss.incarnation),
+                                  std::back_inserter(runs));
+            continue;
+        }
+        auto worker = loss.worker;
+        added.push_back(recent_.emplace(std::move(worker), entry {std::move(loss), now, false}));
+    }
+    for (const auto &item : added) {
+        const auto &loss = item->second.loss;
+        if (isCommonCause(lostTogether(loss, silent)))
+            excuse(loss, runs);
+        else
+            append(loss,
+                   loss.evidence == loss_evidence::Silent ? run_loss::Suspected : run_loss::Crashed,
+                   runs);
+    }
+    return runs;
+}
+
+bool loss_attribution::isKnown(const std::string &worker, std::int64_t incarnation) const
+{
+    const auto [begin, end] = recent_.equal_range(worker);
+    return std::any_of(begin, end, [incarnation](const auto &item) {
+        return item.second.loss.incarnation == incarnation;
+    });
+}
+
+// Returns the losses within the window around a known loss, including it.
+std::vector<const worker_loss *> loss_attribution::lostTogether(
+        const worker_loss &loss, std::span<const worker_loss> silent) const
+{
+    std::vector<const worker_loss *> together;
+    for (const auto &[worker, other] : recent_) {
+        if (isTogether(other.loss, loss))
+            together.push_back(&other.loss);
+    }
+    for (const auto &other : silent) {
+        if (isTogether(other, loss) && !isKnown(other.worker, other.incarnation))
+            together.push_back(&other);
+    }
+    return together;
+}
+
+// Excuses the runs of a loss and of all others within the window around it.
+void loss_attribution::excuse(const worker_loss &loss, std::vector<lost_run> &runs)
+{
+    for (auto &[worker, other] : recent_) {
+        if (isTogether(other.loss, loss) && !std::exchange(other.excused, true))
+            append(other.loss, run_loss::Excused, runs);
+    }
+}
+
+std::vector<lost_run> loss_attribution::recordRestart(const std::string &worker,
+                                                      std::int64_t incarnation)
+{
+    std::vector<lost_run> runs;
+    const auto [begin, end] = recent_.equal_range(worker);
+    for (auto item = begin; item != end; ++item) {
+        auto &[loss, foundAt, excused] = item->second;
+        if (excused || loss.incarnation != incarnation || loss.evidence != loss_evidence::Silent)
+            continue;
+        append(loss, run_loss::Crashed, runs);
+        loss.evidence = loss_evidence::Restarted;
+    }
+    return runs;
+}
+
+// The worker may be lost once more, so what is known of this loss is dropped.
+std::vector<lost_run> loss_attribution::recordReturn(const std::string &worker,
+                                                     std::int64_t incarnation)
+{
+    std::vector<lost_run> runs;
+    auto [item, end] = recent_.equal_range(worker);
+    while (item != end) {
+        if (item->second.loss.incarnation != incarnation) {
+            ++item;
+            continue;
+        }
+        if (!item->second.excused)
+            append(item->second.loss, run_loss::Excused, runs);
+        item = recent_.erase(item);
+    }
+    return runs;
+}
+
+void loss_attribution::prune(time_point now)
+{
+    std::erase_if(recent_,
+                  [now](const auto &item) { return item.second.foundAt + retention < now; });
+}
+
+} // namespace persimmon::batch
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -62,6 +62,7 @@
     }
     for (const auto &[task, run] : *input.stopping)
         recordStopping(task, run);
+    collectSuspects();
     amount capacity;
     amount available;
     for (std::size_t i = 0; i < input.workers.size(); ++i) {
@@ -244,6 +245,8 @@
     if (!item.avoidedWorkers.empty()
         && std::ranges::find(item.avoidedWorkers, report.id) != item.avoidedWorkers.end())
         return false;
+    if (!mayShare(item, worker))
+        return false;
     return item.spec->requiredLabel.empty()
             || std::ranges::find(report.labels, item.spec->requiredLabel) != report.labels.end();
 }
@@ -306,7 +309,9 @@
         const bool unproven = item.retried() && !workers[worker].proven;
         // Idle workers are taken from racks that have few of them, which keeps whole racks free.
         const auto idle = isIdle(worker) ? idleInRack_.at(reportOf(worker).rack) : 0;
-        return std::tuple(unproven, notPreferred, workers[worker].penalty,
+        // A worker that is lost under a suspected task takes fewer others with it.
+        const auto others = item.suspected ? runCount(worker) : 0;
+        return std::tuple(unproven, notPreferred, others, workers[worker].penalty,
                           heartbeatRank(item, worker), available_[worker].accelerators, idle,
                           available_[worker].cpu);
     });
@@ -420,6 +425,12 @@
         output_.starts.push_back({id, earlier + 1, report.id, report.incarnation});
         if (takesWholeWorker(item, place.worker))
             ++wholeWorkers;
+        startedJobs_[place.worker].insert(item.job->id);
+        if (item.suspected) {
+            auto &there = suspectsOn_[place.worker];
+            there.jobs.insert(item.job->id);
+            there.isolated |= item.isolated;
+        }
         take(place.worker, item.spec->charged());
         if (item.spec->maxPerWorker > 0)
             ++startedOn_[{place.worker, stepOf(id)}];
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -68,6 +68,11 @@
     void take(std::size_t worker, const amount &resources);
     std::int64_t heartbeatRank(const unit &item, std::size_t worker) const;
     bool isEligible(const unit &item, std::size_t worker) const;
+    void collectSuspects();
+    bool isIsolated(const task_id &task, const loss_record &record, std::size_t worker) const;
+    bool runsOtherJobs(std::size_t worker, std::string_view job) const;
+    bool mayShare(const unit &item, std::size_t worker) const;
+    std::size_t runCount(std::size_t worker) const;
     bool isDominated(const unit &item) const;
     void recordUnplaceable(const unit &item);
     bool hasTicket(const unit &item, std::size_t worker) const;
@@ -103,6 +108,15 @@
     std::map<std::pair<std::size_t, step_key>, std::uint32_t>
             startedOn_; // by worker and step with a limit for each worker: tasks started in this
                         // pass
+    // Jobs of tasks under which a worker was lost before.
+    struct suspects
+    {
+        std::set<std::string_view> jobs;
+        bool isolated = false; // the worker takes nothing of other jobs
+    };
+
+    std::map<std::size_t, suspects> suspectsOn_; // by worker
+    std::map<std::size_t, std::set<std::string_view>> startedJobs_; // by worker: in this pass
     std::unordered_map<std::string_view, std::size_t> workerIndexes_;
     std::map<std::string_view, std::vector<std::size_t>> racks_;
     std::vector<std::size_t> allWorkers_;
--- a/packages/batch/src/serialize.h
+++ b/packages/batch/src/serialize.h
@@ -128,6 +128,30 @@
     archive(value.wave, value.machine, value.phase, value.incarnation);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, lost_run &value)
+{
+    archive(value.task, value.run, value.kind, value.alone);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, record_losses &value)
+{
+    archive(value.runs, value.wallMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, loss_record::entry &value)
+{
+    archive(value.kind, value.alone);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, loss_record &value)
+{
+    archive(value.runs, value.newestMs);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, wave_machine &value)
 {
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -12,6 +12,9 @@
 // Completing an occurrence has no value once this many times its objective has passed.
 constexpr std::int64_t finalDeadlineObjectives = 3;
 
+// A task that finds no worker of its own for this time is started beside others.
+constexpr std::int64_t isolationWaitMs = 2000;
+
 bool isReady(const job_record &job, std::uint32_t occurrence, const step_spec &spec)
 {
     return std::ranges::all_of(spec.dependsOn, [&](std::uint32_t dependency) {
@@ -19,7 +22,20 @@
     });
 }
 
-void addGang(const step_state &step, unit item, std::vector<unit> &units)
+// Marks a unit if a worker was lost under one of its tasks.
+void markSuspected(const task_id &task, const schedule_input &input, unit &item)
+{
+    const auto &losses = input.state->losses();
+    const auto found = losses.find(task);
+    if (found == losses.end() || found->second.counted() == 0)
+        return;
+    item.suspected = true;
+    item.isolated |= found->second.counted() >= isolationLosses
+            && input.wallMs < found->second.newestMs + isolationWaitMs;
+}
+
+void addGang(const step_state &step, const schedule_input &input, unit item,
+             std::vector<unit> &units)
 {
     if (step.activeCount > 0)
         return;
@@ -28,26 +44,33 @@
         item.indexes.push_back(i);
         if (step.tasks[i].failures > 0)
             item.avoidedWorkers.push_back(step.tasks[i].failedOn);
+        auto task = item.first;
+        task.index = i;
+        markSuspected(task, input, item);
     }
     units.push_back(std::move(item));
 }
 
-void addTasks(const step_state &step, const unit &base, std::vector<unit> &units)
+void addTasks(const step_state &step, const schedule_input &input, const unit &base,
+              std::vector<unit> &units)
 {
     unit fresh = base;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
         const auto &task = step.tasks[i];
         if (task.done || task.active)
             continue;
-        if (task.failures == 0) {
+        unit retried = base;
+        retried.first.index = i;
+        markSuspected(retried.first, input, retried);
+        if (task.failures == 0 && !retried.suspected) {
             fresh.indexes.push_back(i);
             continue;
         }
-        auto &retried = units.emplace_back(base);
-        retried.first.index = i;
         retried.indexes = {i};
-        retried.avoidedWorkers = {task.failedOn};
-        retried.lastAttempt = task.failures + 1 >= base.job->source.attempts;
+        if (task.failures > 0)
+            retried.avoidedWorkers = {task.failedOn};
+        retried.lastAttempt = task.failures > 0 && task.failures + 1 >= base.job->source.attempts;
+        units.push_back(std::move(retried));
     }
     if (fresh.indexes.empty())
         return;
@@ -117,9 +140,9 @@
                     = !spec.longRunning && input.wallMs > finalDeadlineMs(job, occurrence);
             base.guaranteed = guaranteed;
             if (spec.gang)
-                addGang(step, std::move(base), units);
+                addGang(step, input, std::move(base), units);
             else
-                addTasks(step, base, units);
+                addTasks(step, input, base, units);
         }
     }
 }
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -22,6 +22,8 @@
     bool guaranteed = false; // urgent, and all urgent work of its tenant is within its reservation
     bool lastAttempt = false; // the next failure fails the job
     std::vector<std::string> avoidedWorkers; // workers on which a task of the unit has failed
+    bool suspected = false; // a worker was lost under one of its tasks
+    bool isolated = false; // takes only workers that run nothing of other jobs
 
     // Returns whether a task of the unit has failed before.
     bool retried() const { return !avoidedWorkers.empty(); }
@@ -31,7 +33,7 @@
     bool isUnconstrained() const
     {
         return spec->requiredLabel.empty() && spec->maxPerWorker == 0 && avoidedWorkers.empty()
-                && !lastAttempt && job->source.adviceValidMs == 0;
+                && !lastAttempt && !suspected && job->source.adviceValidMs == 0;
     }
 };
 
@@ -40,6 +42,10 @@
     return stepOf(item.first);
 }
 
+// Losses of workers from which on a task runs isolated from other jobs, to tell whether it is the
+// cause.
+constexpr std::uint32_t isolationLosses = 2;
+
 // Returns when an occurrence of a job may start, in Unix milliseconds.
 std::int64_t dueMs(const job_record &job, std::uint32_t occurrence);
 
--- a/packages/batch/src/worker_loss.cc
+++ b/packages/batch/src/worker_loss.cc
@@ -4,7 +4,6 @@
 #include "controller-detail.h"
 
 #include <array>
-#include <set>
 
 namespace persimmon::batch {
 
@@ -15,19 +14,24 @@
     return names.at(static_cast<std::size_t>(evidence));
 }
 
+std::set<std::string> worker_loss::jobs() const
+{
+    std::set<std::string> ids;
+    for (const auto &run : runs)
+        ids.insert(run.task.job);
+    return ids;
+}
+
 void logLoss(const worker_loss &loss, time_point now)
 {
     const auto silentMs = detail::millisecondsOf(now - loss.lastHeartbeat);
-    std::set<std::string_view> jobs;
-    for (const auto &run : loss.runs)
-        jobs.insert(run.task.job);
     logEvent("worker.lost",
              {{"worker", loss.worker},
               {"born", loss.incarnation},
               {"evidence", toName(loss.evidence)},
               {"silent_ms", silentMs},
               {"runs", loss.runs.size()},
-              {"jobs", jobs.size()},
+              {"jobs", loss.jobs().size()},
               {"unreported", loss.unreportedRuns}});
     for (const auto &run : loss.runs)
         logEvent("task.ended",
--- a/packages/batch/test/crash_fleet.h
+++ b/packages/batch/test/crash_fleet.h
@@ -2,6 +2,7 @@
 
 #include "fixture.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -50,6 +51,21 @@
             crash(workers_[static_cast<std::size_t>(i)]);
     }
 
+    // Crashes the worker that runs a task.
+    void crashWorkerOf(const task_id &task)
+    {
+        if (auto *item = workerOf(task))
+            crash(*item);
+    }
+
+    // Lets nothing through between the worker that runs a task and the leader. The worker kills its
+    // runs when its lease expires.
+    void cutOffWorkerOf(const task_id &task, std::int64_t forMs)
+    {
+        if (auto *item = workerOf(task))
+            item->cutOffUntilMs = leader.wallMs + forMs;
+    }
+
     // Lets another leader take over, which knows only the ledger.
     void changeLeader()
     {
@@ -86,6 +102,8 @@
         worker_report report; // as sent next
         bool up = false;
         std::int64_t backAtMs = 0;
+        std::int64_t cutOffUntilMs = 0;
+        std::int64_t leaseUntilMs = 0;
         std::uint64_t ends = 0;
         std::map<task_id, running> tasks;
     };
@@ -107,6 +125,13 @@
         report.capacity = {8000, 8000, 8};
     }
 
+    worker *workerOf(const task_id &task)
+    {
+        const auto found = std::ranges::find_if(
+                workers_, [&](const worker &item) { return item.tasks.contains(task); });
+        return found == workers_.end() ? nullptr : &*found;
+    }
+
     void crash(worker &item)
     {
         item.up = false;
@@ -131,12 +156,22 @@
             end(item, task, end_kind::Done);
     }
 
+    void lapse(worker &item)
+    {
+        while (!item.tasks.empty())
+            end(item, task_id {item.tasks.begin()->first}, end_kind::Lapsed);
+    }
+
     void step(worker &item)
     {
         if (!item.up && options_.comesBack != crash_return::Never && leader.wallMs >= item.backAtMs)
             boot(item, item.place);
         if (!item.up)
             return;
+        if (leader.wallMs >= item.leaseUntilMs)
+            lapse(item);
+        if (leader.wallMs < item.cutOffUntilMs)
+            return;
         endCompletedTasks(item);
         auto &report = item.report;
         ++report.sequence;
@@ -150,6 +185,7 @@
 
     void follow(worker &item, const worker_orders &orders)
     {
+        item.leaseUntilMs = leader.wallMs + orders.leaseMs;
         std::erase_if(item.report.ended, [&](const ended_task &ended) {
             return ended.sequence <= orders.ackedUpTo.value_or(0);
         });
--- a/packages/batch/test/ledger-test.cc
+++ b/packages/batch/test/ledger-test.cc
@@ -136,6 +136,72 @@
     CHECK_TRUE(other.snapshot() == state.snapshot());
 }
 
+// Guards against losing the count of crashes in a snapshot.
+TEST(Ledger, snapshotRestoresLosses)
+{
+    accept(leader_fixture::tasks(1, 1));
+    start(0, 1);
+    state.apply(record_losses {{{{"a", 0, 0, 0}, 1, run_loss::Crashed, true}}, 20});
+    ledger other;
+    CHECK_FALSE(failed(other.restore(state.snapshot())));
+    CHECK_EQUAL(1, other.countedLosses({"a", 0, 0, 0}));
+    CHECK_TRUE(other.snapshot() == state.snapshot());
+}
+
+// Guards against an upgrade that can't read what the version before has stored.
+TEST(Ledger, readsSnapshotWithoutLosses)
+{
+    accept(leader_fixture::tasks(2, 1));
+    start(0, 1);
+    auto bytes = state.snapshot();
+    bytes.at(1) = std::byte {2}; // the format follows the byte order
+    bytes.resize(bytes.size() - sizeof(std::uint64_t)); // the number of losses
+    ledger other;
+    CHECK_FALSE(failed(other.restore(bytes)));
+    CHECK_EQUAL(1, other.runsOn("w0").size());
+    CHECK_EQUAL(0, other.losses().size());
+}
+
+// Guards against a count that grows when a loss is recorded again, as a new leader may do.
+TEST(Ledger, countsTheLossOfARunOnce)
+{
+    accept(leader_fixture::tasks(1, 1));
+    start(0, 1);
+    const lost_run lost {{"a", 0, 0, 0}, 1, run_loss::Suspected, true};
+    for (int i = 0; i < 6; ++i)
+        state.apply(record_losses {{lost}, 20});
+    CHECK_EQUAL(1, state.countedLosses({"a", 0, 0, 0}));
+    CHECK_TRUE(state.findJob("a")->state == job_state::Running);
+}
+
+// Guards against counting what was excused, and against blaming a run again after its excuse.
+TEST(Ledger, excusedLossesDontCount)
+{
+    accept(leader_fixture::tasks(1, 1));
+    for (std::uint32_t run = 1; run <= 6; ++run) {
+        start(0, run);
+        for (const auto kind : {run_loss::Suspected, run_loss::Excused, run_loss::Crashed})
+            state.apply(record_losses {{{{"a", 0, 0, 0}, run, kind, true}}, 20});
+        end(0, run, end_kind::Lost);
+    }
+    CHECK_EQUAL(0, state.countedLosses({"a", 0, 0, 0}));
+    CHECK_TRUE(state.findJob("a")->state == job_state::Running);
+}
+
+// Guards against blaming a task for crashes of workers that it always shared with other jobs.
+TEST(Ledger, sharedCrashesAreConclusiveLater)
+{
+    accept(leader_fixture::tasks(1, 1));
+    for (std::uint32_t run = 1; run <= 4; ++run) {
+        CHECK_TRUE(state.findJob("a")->state != job_state::Failed);
+        start(0, run);
+        state.apply(record_losses {{{{"a", 0, 0, 0}, run, run_loss::Crashed, false}}, 20});
+        end(0, run, end_kind::Lost);
+    }
+    CHECK_TRUE(state.findJob("a")->state == job_state::Failed);
+    CHECK_EQUAL(0, state.losses().size());
+}
+
 // Guards against a crash when a damaged snapshot is restored.
 TEST(Ledger, refusesDamagedSnapshot)
 {
--- /dev/null
+++ b/packages/batch/test/loss_attribution-test.cc
@@ -0,0 +1,122 @@
+#include "fixture.h"
+
+#include "batch/loss_attribution.h"
+
+#include <algorithm>
+
+using namespace persimmon;
+using namespace persimmon::batch;
+
+TEST_GROUP(LossAttribution)
+{
+    loss_attribution attribution;
+    time_point now {std::chrono::seconds {100}};
+
+    // A worker that has crashed with one run of a job.
+    worker_loss lossOf(const std::string &worker, const std::string &job, bool began)
+    {
+        worker_loss loss;
+        loss.worker = worker;
+        loss.incarnation = 1000;
+        loss.evidence = loss_evidence::Replaced;
+        loss.lastHeartbeat = now;
+        loss.runs = {{{job, 0, 0, 0}, 1, worker, 1000}};
+        loss.suspects = loss.runs;
+        loss.unreportedRuns = began ? 1 : 0;
+        return loss;
+    }
+
+    std::vector<worker_loss> threeLosses(bool sameJob, bool began)
+    {
+        return {lossOf("w1", "a", began), lossOf("w2", sameJob ? "a" : "b", began),
+                lossOf("w3", sameJob ? "a" : "c", began)};
+    }
+
+    static std::size_t countOf(const std::vector<lost_run> &runs, run_loss kind)
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+                runs, [kind](const lost_run &run) { return run.kind == kind; }));
+    }
+};
+
+// Guards against blaming tasks for a loss of power.
+TEST(LossAttribution, excusesWorkersThatAreLostTogether)
+{
+    CHECK_EQUAL(3, countOf(attribution.add(threeLosses(false, false), {}, now), run_loss::Excused));
+}
+
+// Guards against blaming tasks for a loss of power that is found in steps.
+TEST(LossAttribution, excusesEarlierLossesToo)
+{
+    CHECK_EQUAL(1,
+                countOf(attribution.add({lossOf("w1", "a", false)}, {}, now), run_loss::Crashed));
+    CHECK_EQUAL(1,
+                countOf(attribution.add({lossOf("w2", "b", false)}, {}, now), run_loss::Crashed));
+    now += milliseconds {1000};
+    CHECK_EQUAL(3,
+                countOf(attribution.add({lossOf("w3", "c", false)}, {}, now), run_loss::Excused));
+}
+
+// Guards against blaming tasks while other workers have only fallen silent, with or without runs.
+TEST(LossAttribution, countsSilentWorkersAsLostTogether)
+{
+    std::vector<worker_loss> silent {lossOf("w2", "b", false), lossOf("w3", "c", false)};
+    silent.back().runs.clear();
+    CHECK_EQUAL(
+            1,
+            countOf(attribution.add({lossOf("w1", "a", false)}, silent, now), run_loss::Excused));
+}
+
+// Guards against a job that crashes the workers of all its tasks at once and is excused for it.
+TEST(LossAttribution, blamesAJobThatRanOnAllLostWorkers)
+{
+    CHECK_EQUAL(3, countOf(attribution.add(threeLosses(true, false), {}, now), run_loss::Crashed));
+}
+
+// Guards against several jobs that crash workers at one time and excuse each other.
+TEST(LossAttribution, blamesRunsThatHadJustBegun)
+{
+    CHECK_EQUAL(3, countOf(attribution.add(threeLosses(false, true), {}, now), run_loss::Crashed));
+}
+
+// Guards against counting losses as one that are seconds apart.
+TEST(LossAttribution, blamesRunsOfWorkersThatAreLostOneAfterAnother)
+{
+    for (const auto *worker : {"w1", "w2", "w3", "w4"}) {
+        now += milliseconds {2000};
+        CHECK_EQUAL(1,
+                    countOf(attribution.add({lossOf(worker, worker, false)}, {}, now),
+                            run_loss::Crashed));
+    }
+}
+
+// Guards against blaming tasks for the departure of their worker.
+TEST(LossAttribution, ignoresWorkersThatHaveLeft)
+{
+    auto loss = lossOf("w1", "a", true);
+    loss.evidence = loss_evidence::Left;
+    CHECK_TRUE(attribution.add({loss}, {}, now).empty());
+}
+
+// Guards against a silent worker whose crash is never confirmed, or is confirmed twice.
+TEST(LossAttribution, confirmsASuspicionOnce)
+{
+    auto loss = lossOf("w1", "a", true);
+    loss.evidence = loss_evidence::Silent;
+    CHECK_EQUAL(1, countOf(attribution.add({loss}, {}, now), run_loss::Suspected));
+    CHECK_TRUE(attribution.recordRestart("w1", 999).empty());
+    CHECK_EQUAL(1, countOf(attribution.recordRestart("w1", 1000), run_loss::Crashed));
+    CHECK_TRUE(attribution.recordRestart("w1", 1000).empty());
+}
+
+// Guards against taking a run for isolated although another job was running beside it.
+TEST(LossAttribution, tellsWhetherAJobWasAlone)
+{
+    auto loss = lossOf("w1", "a", true);
+    CHECK_TRUE(attribution.add({loss}, {}, now).front().alone);
+    loss.worker = "w2";
+    loss.suspects.push_back({{"b", 0, 0, 0}, 1, "w2", 1000});
+    const auto runs = attribution.add({loss}, {}, now);
+    CHECK_EQUAL(2, runs.size());
+    CHECK_FALSE(runs.front().alone || runs.back().alone);
+}
