Start nothing beyond the capacity that a worker reports now, with what it still stops

Callers could have seen: a worker that does not guard its capacity is given more than it has. Cause, four ways, each with a test that failed first: a task placed before its worker reported less was started all the same; a run that the ledger had given up (lapsed, unknown) but that the worker still listed, or was stopping and listed nowhere, counted as gone; the same for runs that a worker kills because its lease expired, if it is back before they are. Change: the controller keeps such residual runs until their ends are listed or a stop must have ended, the scheduler subtracts them, and each start is checked against the newest report before it is sent; what no longer fits is given up and placed elsewhere (task.moved why=capacity).

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -146,6 +146,16 @@
         std::optional<std::uint64_t> ackedUpTo;
     };
 
+    using run_key = std::pair<task_id, std::uint32_t>;
+
+    // A run that has ended in the ledger but may still take resources of its worker, because the
+    // worker lists it or is stopping it.
+    struct residual_run
+    {
+        amount taken;
+        time_point until {}; // a stop ends before
+    };
+
     // Incarnation of a worker that was followed by a newer one.
     struct earlier_incarnation
     {
@@ -169,6 +179,7 @@
         bool replaced = false; // it left because a newer worker has reported from its address
         std::optional<earlier_incarnation> earlier;
         std::map<task_id, tracked_run> runs;
+        std::map<run_key, residual_run> residual;
         // Runs that the worker doesn't list: the run number, and since when.
         std::map<task_id, std::pair<std::uint32_t, time_point>> missing;
         pacer pace;
@@ -176,8 +187,6 @@
         std::optional<held_answer> held; // of the newest heartbeat
     };
 
-    using run_key = std::pair<task_id, std::uint32_t>;
-
     bool isAvailable(const task_id &task) const;
     bool isHeartbeatOverdue(const worker_state &worker, time_point now) const;
     bool isSchedulable(const worker_state &worker, time_point now) const;
@@ -212,7 +221,12 @@
     bool requestStop(const task_id &task, std::uint32_t run, const std::string &worker);
     void markMembers(const task_id &task);
     void sendReadyOrders();
+    bool isExpected(const worker_state &worker, const running_task &row) const;
+    void updateResidual(worker_state &worker, time_point now) const;
+    bool isStartDue(const worker_state &worker, const assignment &run) const;
     void addStarts(const worker_state &worker, worker_orders &orders);
+    std::optional<start_order> startOrderOf(const worker_state &worker, const assignment &run);
+    void withholdStart(const worker_state &worker, const assignment &run);
     void addPaces(worker_state &worker, worker_orders &orders) const;
     void updatePace(worker_state &worker, time_point now) const;
     void recordOrderSent(const run_key &run);
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -20,6 +20,7 @@
 struct worker_view
 {
     const worker_report *report = nullptr; // newest report; must outlive the view
+    amount residual; // taken by runs that have ended in the ledger but not yet on the worker
     // Expected time until the next heartbeat. Orders are sent with the answer to it.
     milliseconds untilHeartbeat {0};
     int penalty = 0; // 0: no recent failures; workers with higher values are used last
--- a/packages/batch/src/controller-orders.cc
+++ b/packages/batch/src/controller-orders.cc
@@ -83,14 +83,19 @@
             || worker.report.draining || isIncompleteGang(*job, task);
 }
 
-// Returns whether a run that a worker reports has to be stopped.
-bool controller::shouldEnd(const worker_state &worker, const running_task &row) const
+// Returns whether a run that a worker reports is active there in the ledger.
+bool controller::isExpected(const worker_state &worker, const running_task &row) const
 {
     const auto &runs = state_.runsOn(worker.report.id);
     const auto found = runs.find(row.task);
-    const bool expected = found != runs.end() && found->second.run == row.run
+    return found != runs.end() && found->second.run == row.run
             && found->second.incarnation == worker.report.incarnation;
-    if (!expected)
+}
+
+// Returns whether a run that a worker reports has to be stopped.
+bool controller::shouldEnd(const worker_state &worker, const running_task &row) const
+{
+    if (!isExpected(worker, row))
         return true;
     const auto *job = state_.findJob(row.task.job);
     // A run of a completed job isn't stopped: the other members of a gang end by themselves once
@@ -219,49 +224,111 @@
     sentOrders_.erase(sent);
 }
 
+// Returns whether the worker should start a run that the ledger has placed on it.
+bool controller::isStartDue(const worker_state &worker, const assignment &run) const
+{
+    const auto running = worker.runs.find(run.task);
+    if (running != worker.runs.end() && running->second.run == run.run)
+        return false;
+    return !shouldStop(worker, run.task, run.run) && !contains(worker.report.ended, run);
+}
+
+// Adds the starts that fit into the capacity that the worker reports now, beside all that it runs
+// or is still stopping. It may have shrunk since the tasks were placed.
 void controller::addStarts(const worker_state &worker, worker_orders &orders)
 {
+    auto available = worker.report.capacity;
+    for (const auto &[key, run] : worker.residual)
+        available -= run.taken;
+    std::vector<assignment> due;
     for (const auto &[task, run] : state_.runsOn(worker.report.id)) {
         if (run.incarnation != worker.report.incarnation)
             continue;
-        const auto running = worker.runs.find(task);
-        if (running != worker.runs.end() && running->second.run == run.run)
-            continue;
-        if (shouldStop(worker, task, run.run))
-            continue;
-        if (contains(worker.report.ended, run))
+        if (isStartDue(worker, run))
+            due.push_back(run);
+        else if (!contains(worker.report.ended, run) && !unsentOrders_.contains({task, run.run}))
+            available -= state_.findJob(task.job)->spec.steps[task.step].charged();
+    }
+    for (const auto &run : due) {
+        const auto need = state_.findJob(run.task.job)->spec.steps[run.task.step].charged();
+        if (timesFitting(available, need) == 0) {
+            withholdStart(worker, run);
             continue;
-        const auto &job = *state_.findJob(task.job);
-        const auto &step = job.stepOf(task);
-        // All members of a gang resume from the same checkpoint: the greatest by name.
-        std::string checkpoint = job.taskOf(task).checkpoint;
-        if (job.spec.steps[task.step].gang) {
-            checkpoint.clear();
-            for (const auto &member : step.tasks)
-                checkpoint = std::max(checkpoint, member.checkpoint);
-        }
-        std::string ticketText;
-        if (job.source.adviceValidMs > 0) {
-            const auto *cached = advice_.find(stepOf(task), worker.report.id, run.incarnation,
-                                              worker.lastHeartbeat);
-            if (cached == nullptr) {
-                missingTickets_.insert({stepOf(task), worker.report.id});
-                continue;
-            }
-            ticketText = *cached;
         }
-        orders.starts.push_back(
-                {task, run.run, job.spec.payload, std::move(checkpoint), std::move(ticketText)});
-        recordOrderSent({task, run.run});
+        auto order = startOrderOf(worker, run);
+        if (!order)
+            continue;
+        available -= need;
+        orders.starts.push_back(std::move(*order));
+        recordOrderSent({run.task, run.run});
         logEvent("task.start_sent",
-                 {{"job", task.job},
-                  {"task", nameOf(task)},
+                 {{"job", run.task.job},
+                  {"task", nameOf(run.task)},
                   {"run", run.run},
                   {"worker", worker.report.id},
                   {"token", term_}});
     }
 }
 
+// Returns nothing if the worker has no valid ticket for the run, which is then requested.
+std::optional<start_order> controller::startOrderOf(const worker_state &worker,
+                                                    const assignment &run)
+{
+    const auto &task = run.task;
+    const auto &job = *state_.findJob(task.job);
+    // All members of a gang resume from the same checkpoint: the greatest by name.
+    std::string checkpoint = job.taskOf(task).checkpoint;
+    if (job.spec.steps[task.step].gang) {
+        checkpoint.clear();
+        for (const auto &member : job.stepOf(task).tasks)
+            checkpoint = std::max(checkpoint, member.checkpoint);
+    }
+    std::string ticketText;
+    if (job.source.adviceValidMs > 0) {
+        const auto *cached = advice_.find(stepOf(task), worker.report.id, run.incarnation,
+                                          worker.lastHeartbeat);
+        if (cached == nullptr) {
+            missingTickets_.insert({stepOf(task), worker.report.id});
+            return std::nullopt;
+        }
+        ticketText = *cached;
+    }
+    return start_order {task, run.run, job.spec.payload, std::move(checkpoint),
+                        std::move(ticketText)};
+}
+
+// Gives up a run that was placed but no longer fits, so that it is placed elsewhere.
+void controller::withholdStart(const worker_state &worker, const assignment &run)
+{
+    requestStop(run.task, run.run, worker.report.id);
+    logEvent("task.moved",
+             {{"job", run.task.job},
+              {"task", nameOf(run.task)},
+              {"run", run.run},
+              {"worker", worker.report.id},
+              {"why", "capacity"},
+              {"accelerators", worker.report.capacity.accelerators}});
+}
+
+// Keeps the resources of runs that the ledger has given up until the worker has listed their ends,
+// or a stop must have ended.
+void controller::updateResidual(worker_state &worker, time_point now) const
+{
+    const auto &report = worker.report;
+    std::erase_if(worker.residual, [now](const auto &item) { return item.second.until <= now; });
+    for (const auto &row : report.ended)
+        worker.residual.erase({row.task, row.run});
+    for (const auto &row : report.running) {
+        if (isExpected(worker, row))
+            continue;
+        // What a task takes that no job has any more isn't known.
+        const auto taken = state_.hasTask(row.task)
+                ? state_.findJob(row.task.job)->spec.steps[row.task.step].charged()
+                : report.capacity;
+        worker.residual[{row.task, row.run}] = {taken, now + options_.missingRunLimit};
+    }
+}
+
 void controller::updatePace(worker_state &worker, time_point now) const
 {
     double worst = 0;
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -79,6 +79,11 @@
                 checkpoint = found->second.runs.at(task).checkpoint;
             ends.push_back({task, run.run, gone ? end_kind::Lost : end_kind::Lapsed, checkpoint});
             expired.push_back(run);
+            // The worker stops the run when the lease expires, and may be back before it has.
+            if (isKnown && !gone)
+                found->second.residual[{task, run.run}]
+                        = {state_.findJob(task.job)->spec.steps[task.step].charged(),
+                           now + options_.missingRunLimit};
         }
         if (!expired.empty())
             losses.push_back(lossOf(worker, std::move(expired)));
@@ -199,6 +204,8 @@
     for (const auto &[id, worker] : workers_) {
         auto &view = views.emplace_back();
         view.report = &worker.report;
+        for (const auto &[key, run] : worker.residual)
+            view.residual += run.taken;
         view.untilHeartbeat = worker.held && worker.held->until > now
                 ? milliseconds {0}
                 : std::max(milliseconds {0},
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -199,6 +199,7 @@
     worker.replaced = false;
     worker.held.reset();
     updateRunning(worker, now, silence);
+    updateResidual(worker, now);
     updatePace(worker, now);
     return worker;
 }
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -57,6 +57,7 @@
         workerIndexes_[report.id] = i;
         racks_[report.rack].push_back(i);
         available_[i] = report.capacity;
+        available_[i] -= input.workers[i].residual;
         if (busy != busyWorkers.end() && busy->first == report.id)
             available_[i] -= busy->second.used;
     }
--- a/packages/batch/test/crash_fleet.h
+++ b/packages/batch/test/crash_fleet.h
@@ -23,6 +23,7 @@
         crash_return comesBack = crash_return::AtItsAddress;
         std::int64_t downMs = 3000;
         std::int64_t taskMs = 2000; // duration of a task
+        std::int64_t stopMs = 300; // duration of a stop
     };
 
     explicit crash_fleet(options values)
@@ -66,6 +67,12 @@
             item->cutOffUntilMs = leader.wallMs + forMs;
     }
 
+    // Sets the capacity that a worker reports from now on. What it runs goes on.
+    void setCapacity(int place, const amount &value)
+    {
+        workers_[static_cast<std::size_t>(place)].report.capacity = value;
+    }
+
     // Lets another leader take over, which knows only the ledger.
     void changeLeader()
     {
@@ -106,6 +113,8 @@
         std::int64_t leaseUntilMs = 0;
         std::uint64_t ends = 0;
         std::map<task_id, running> tasks;
+        std::map<task_id, std::uint32_t> newestEnded; // run number
+        std::map<task_id, running> stopping; // since when; in no list until the stop has ended
     };
 
     void boot(worker &item, int place)
@@ -137,11 +146,31 @@
         item.up = false;
         item.backAtMs = leader.wallMs + options_.downMs;
         item.tasks.clear();
+        item.stopping.clear();
+    }
+
+    void beginStop(worker &item, const task_id &task)
+    {
+        item.stopping[task] = {item.tasks.at(task).run, leader.wallMs};
+        item.newestEnded[task] = item.tasks.at(task).run;
+        item.tasks.erase(task);
+    }
+
+    void endStops(worker &item)
+    {
+        std::erase_if(item.stopping, [&](const auto &stop) {
+            const auto &[task, state] = stop;
+            if (leader.wallMs - state.sinceMs < options_.stopMs)
+                return false;
+            item.report.ended.push_back({++item.ends, task, state.run, end_kind::Stopped, ""});
+            return true;
+        });
     }
 
     void end(worker &item, const task_id &task, end_kind kind)
     {
         item.report.ended.push_back({++item.ends, task, item.tasks.at(task).run, kind, ""});
+        item.newestEnded[task] = item.tasks.at(task).run;
         item.tasks.erase(task);
     }
 
@@ -159,7 +188,7 @@
     void lapse(worker &item)
     {
         while (!item.tasks.empty())
-            end(item, task_id {item.tasks.begin()->first}, end_kind::Lapsed);
+            beginStop(item, task_id {item.tasks.begin()->first});
     }
 
     void step(worker &item)
@@ -170,6 +199,7 @@
             return;
         if (leader.wallMs >= item.leaseUntilMs)
             lapse(item);
+        endStops(item);
         if (leader.wallMs < item.cutOffUntilMs)
             return;
         endCompletedTasks(item);
@@ -192,10 +222,13 @@
         for (const auto &stop : orders.stops) {
             const auto found = item.tasks.find(stop.task);
             if (found != item.tasks.end() && found->second.run == stop.run)
-                end(item, stop.task, end_kind::Stopped);
+                beginStop(item, stop.task);
         }
         bool crashes = false;
         for (const auto &start : orders.starts) {
+            // A worker takes no run that has ended there or is being stopped.
+            if (start.run <= item.newestEnded[start.task])
+                continue;
             ++starts_[start.task];
             item.tasks[start.task] = {start.run, leader.wallMs};
             crashes |= deadly_(start.task);
@@ -211,8 +244,10 @@
     void checkCapacity(const worker &item, const worker_orders &orders)
     {
         auto available = item.report.capacity;
-        for (const auto &[task, state] : item.tasks)
-            available -= leader.state.findJob(task.job)->spec.steps[task.step].charged();
+        for (const auto *tasks : {&item.tasks, &item.stopping}) {
+            for (const auto &[task, state] : *tasks)
+                available -= leader.state.findJob(task.job)->spec.steps[task.step].charged();
+        }
         const bool overfull
                 = available.cpu < 0 || available.memory < 0 || available.accelerators < 0;
         overfullStarts_ += overfull && !orders.starts.empty() ? 1 : 0;
