Give up the runs of a replaced worker without waiting for its departure

Callers saw: tasks of a crashed worker ran again 5 s after the crash, though a newer worker at its address had been heard after 3.3 s. Cause: the grace for reports that are still on their way counted from the replacement, not from the dead worker's last heartbeat. Change: it counts from there. The process at the address has ended before the newer one could start, so nothing runs twice.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -188,6 +188,7 @@
     };
 
     bool isAvailable(const task_id &task) const;
+    static bool isGone(const worker_state &worker, time_point now);
     bool isHeartbeatOverdue(const worker_state &worker, time_point now) const;
     bool isSchedulable(const worker_state &worker, time_point now) const;
     bool isStale(const worker_state &worker, const worker_report &report) const;
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -17,7 +17,8 @@
 // Added to a lease before its runs are treated as lapsed.
 constexpr milliseconds leaseMargin {200};
 
-// A worker that has announced its departure is treated as gone after this time without a heartbeat.
+// A worker that has announced its departure, or has been replaced at its address, is treated as
+// gone after this time without a heartbeat: its last reports may still be on their way.
 constexpr milliseconds leaveGracePeriod {1500};
 
 // A worker gets no new tasks if its heartbeat is overdue by more than this time beyond its period.
@@ -52,6 +53,16 @@
     removeExpired(now, wallMs);
 }
 
+// The process of a replaced worker has ended before the newer one could start, so its reports can
+// be on their way since its last heartbeat only.
+bool controller::isGone(const worker_state &worker, time_point now)
+{
+    if (!worker.leftAt)
+        return false;
+    const auto since = worker.replaced ? worker.lastHeartbeat : *worker.leftAt;
+    return since + leaveGracePeriod < now;
+}
+
 void controller::expireLeases(time_point now, std::int64_t wallMs)
 {
     const auto lease = milliseconds {
@@ -64,8 +75,7 @@
         while (found != workers_.end() && found->first < worker)
             ++found;
         const bool isKnown = found != workers_.end() && found->first == worker;
-        const bool gone
-                = isKnown && found->second.leftAt && *found->second.leftAt + leaveGracePeriod < now;
+        const bool gone = isKnown && isGone(found->second, now);
         const auto lastHeartbeat
                 = isKnown ? found->second.lastHeartbeat : termStart_ + options_.leaderLease;
         if (!gone && lastHeartbeat + lease + leaseMargin > now)
--- a/packages/batch/test/controller-liveness-test.cc
+++ b/packages/batch/test/controller-liveness-test.cc
@@ -191,6 +191,27 @@
     CHECK_EQUAL(1, leader.state.runsOn("w1").size());
 }
 
+// Guards against waiting for the departure of a worker that is known to be dead: another one runs
+// at its address.
+TEST(ControllerLiveness, runsAgainAsSoonAsAnotherWorkerHasTheAddress)
+{
+    leader.configure(1);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    auto first = leader.report("w1");
+    first.address = "10.0.0.1:1";
+    leader.sendHeartbeat(first);
+    leader.advance(100);
+    CHECK_EQUAL(1, leader.sendNextHeartbeat(first).starts.size());
+    for (int ms = 0; ms < 3000; ms += 100)
+        leader.advance(100);
+    auto second = leader.report("w2");
+    second.address = first.address;
+    second.incarnation = first.incarnation + 3000;
+    leader.sendHeartbeat(second);
+    leader.advance(100);
+    CHECK_EQUAL(1, leader.sendNextHeartbeat(second).starts.size());
+}
+
 // Guards against a run that makes no progress and is never moved.
 TEST(ControllerLiveness, movesStalledRun)
 {
