Soak real processes behind links that are slow, reset, silent or cut one way

Cause: the soak killed and suspended processes, but no test had real sockets between clients and the programs that fail. Change: a TCP proxy on loopback in the system tests, between workers and schedulers and between consumers and the gateway; a seeded soak with several faults at a time, a scheduler suspended or killed meanwhile, and checks that accepted jobs end, refused ones are unknown, and nothing runs twice or too much. Links between schedulers stay whole in this test.

--- a/packages/system/test/batch-test.cc
+++ b/packages/system/test/batch-test.cc
@@ -1,5 +1,6 @@
 // Process-level tests of the scheduler and gateway roles with stand-ins for workers and consumers:
 // request serving, leader failover and tracing a job's failure to its cause by the job id.
+#include "faulty_link.h"
 #include "local_system.h"
 #include "standin_fleet.h"
 
@@ -9,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <memory>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -81,6 +83,17 @@
         processes_[number] = launch(name, "scheduler");
     }
 
+    // Lets workers reach the schedulers, and consumers the gateway, through links with faults.
+    void useLinks()
+    {
+        for (int i = 0; i < schedulers; ++i)
+            links_.push_back(std::make_unique<faulty_link>(linkTo(i), scheduler(i)));
+        links_.push_back(std::make_unique<faulty_link>(linkTo(schedulers), gateway()));
+    }
+
+    // Returns the links to the schedulers, and last the one to the gateway.
+    std::vector<std::unique_ptr<faulty_link>> &links() { return links_; }
+
     // Sends the heartbeats that are due and advances the stand-in workers by the elapsed real time.
     void step(platform::standin_fleet &fleet)
     {
@@ -121,7 +134,7 @@
     http_response sendToGateway(const std::string &method, const std::string &path,
                                 const std::string &body = {}, const std::string &key = "key")
     {
-        return call(gateway(), method, path, body,
+        return call(links_.empty() ? gateway() : linkTo(schedulers), method, path, body,
                     {{"Host", "h"}, {"Authorization", "Bearer " + key}}, milliseconds {3500});
     }
 
@@ -216,14 +229,22 @@
         waiting.sentMs = nowMs();
         waiting.answer = std::async(
                 std::launch::async,
-                [target = scheduler(waiting.target % schedulers), path = "/instances/" + worker.id,
-                 body = fleet.heartbeat(worker, waiting.sentMs)] {
+                [target = addressForWorkers(waiting.target % schedulers),
+                 path = "/instances/" + worker.id, body = fleet.heartbeat(worker, waiting.sentMs)] {
                     return call(target, "PUT", path, body, {}, milliseconds {950});
                 });
     }
 
     static std::string ip(int number) { return "127.0.32." + std::to_string(number + 1); }
     std::string scheduler(int number) const { return ip(number) + ":" + std::to_string(port_); }
+    std::string linkTo(int number) const
+    {
+        return "127.0.33." + std::to_string(number + 1) + ":" + std::to_string(port_);
+    }
+    std::string addressForWorkers(int number) const
+    {
+        return links_.empty() ? scheduler(number) : linkTo(number);
+    }
     std::string gateway() const { return "127.0.32.9:" + std::to_string(port_); }
 
     void writeGatewaySettings(const std::string &group) const
@@ -254,6 +275,7 @@
     int port_;
     std::map<int, process> processes_;
     process gateway_;
+    std::vector<std::unique_ptr<faulty_link>> links_;
     std::map<std::string, std::int64_t> nextHeartbeatMs_;
     std::map<std::string, outstanding_heartbeat> outstanding_; // by worker
     std::int64_t lastStepMs_ = 0;
@@ -445,3 +467,98 @@
         FAIL(("not done: " + accepted.back() + " " + system.jobState(accepted.back())).c_str());
     CHECK_TRUE(next > 10);
 }
+
+// Guards against faults that only links show: connections that are slow, reset, silent or cut one
+// way, several at a time, while a scheduler is suspended or killed. PERSIMMON_SOAK_SECONDS and
+// PERSIMMON_SOAK_SEED as above.
+TEST(BatchSystem, soakThroughFaultyLinks)
+{
+    const char *length = std::getenv("PERSIMMON_SOAK_SECONDS");
+    const char *seed = std::getenv("PERSIMMON_SOAK_SEED");
+    std::mt19937 random(seed == nullptr ? 1U : static_cast<unsigned>(std::atoi(seed)));
+    const auto draw = [&random](std::int64_t low, std::int64_t high) {
+        return std::uniform_int_distribution<std::int64_t>(low, high)(random);
+    };
+    const auto end = nowMs() + 1000 * (length == nullptr ? 10 : std::atoll(length));
+    batch_system system;
+    platform::standin_fleet fleet(4);
+    CHECK_TRUE(system.configure());
+    system.useLinks();
+    std::vector<std::string> accepted;
+    std::vector<std::string> refused;
+    std::vector<std::int64_t> faultUntil(system.links().size());
+    int next = 0;
+    int suspended = -1;
+    auto nextJob = nowMs();
+    auto nextFault = nowMs() + 1000;
+    auto nextSignal = nowMs() + 2000;
+    while (nowMs() < end) {
+        if (nowMs() >= nextJob) {
+            nextJob = nowMs() + 300;
+            const auto id = "l" + std::to_string(++next);
+            const platform::standin_job job {1000 * draw(1, 3), 100 * draw(3, 15), draw(1, 3),
+                                             next % 2 == 0};
+            const auto status
+                    = system.sendToGateway("POST", "/q/" + id, addJob(fleet, id, job)).status;
+            if (status == 200)
+                accepted.push_back(id);
+            else if (status == 503 || status == 429)
+                refused.push_back(id);
+        }
+        for (std::size_t i = 0; i < faultUntil.size(); ++i) {
+            if (faultUntil[i] != 0 && nowMs() >= faultUntil[i]) {
+                system.links()[i]->set(link_condition::Good);
+                faultUntil[i] = 0;
+            }
+        }
+        if (nowMs() >= nextFault) {
+            nextFault = nowMs() + draw(100, 900);
+            const auto link
+                    = static_cast<std::size_t>(draw(0, static_cast<int>(faultUntil.size()) - 1));
+            const auto kind = draw(0, 4);
+            if (kind == 0) {
+                system.links()[link]->reset();
+            } else {
+                system.links()[link]->set(static_cast<link_condition>(kind));
+                // Some faults outlast the lease of a worker.
+                faultUntil[link] = nowMs() + draw(100, draw(0, 3) == 0 ? 9000 : 3000);
+            }
+        }
+        if (nowMs() >= nextSignal && suspended < 0) {
+            suspended = static_cast<int>(draw(0, schedulers - 1));
+            system.signalScheduler(suspended, SIGSTOP);
+            nextSignal = nowMs() + draw(200, 2500);
+        } else if (nowMs() >= nextSignal) {
+            system.signalScheduler(suspended, SIGCONT);
+            if (draw(0, 2) == 0) {
+                system.killScheduler(suspended);
+                system.startScheduler(suspended, false);
+            }
+            suspended = -1;
+            nextSignal = nowMs() + draw(500, 3000);
+        }
+        system.step(fleet);
+    }
+    if (suspended >= 0)
+        system.signalScheduler(suspended, SIGCONT);
+    for (auto &link : system.links())
+        link->set(link_condition::Good);
+    const bool done = system.stepUntil(
+            fleet,
+            [&] {
+                while (!accepted.empty() && system.jobState(accepted.back()) == "done")
+                    accepted.pop_back();
+                return accepted.empty();
+            },
+            60000);
+    for (const auto &violation : fleet.violations)
+        FAIL(violation.c_str());
+    if (!done)
+        FAIL(("not done: " + accepted.back() + " " + system.jobState(accepted.back())).c_str());
+    for (const auto &id : refused) {
+        const auto answer = system.sendToGateway("GET", "/q/" + id);
+        if (answer.status != 410)
+            FAIL(("refused, but known: " + id + " " + std::to_string(answer.status)).c_str());
+    }
+    CHECK_TRUE(next > 5);
+}
--- a/support/soak.sh
+++ b/support/soak.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Soaks the scheduler and gateway roles under faults: support/soak.sh SECONDS [SEED] [BUILD_FOLDER]
-# Runs the in-process fuzz tests with new seeds, then a system of real processes that are killed,
-# suspended (SIGSTOP) or restarted without their data. Prints the seed first, to reproduce a failure.
+# Runs the in-process fuzz tests with new seeds, then systems of real processes that are killed,
+# suspended (SIGSTOP) or restarted without their data, and whose links are slow, reset, silent or cut
+# one way. Prints the seed first, to reproduce a failure.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seconds="${1:?SECONDS}"
@@ -14,3 +15,5 @@
 done
 PERSIMMON_SOAK_SECONDS="$seconds" PERSIMMON_SOAK_SEED="$seed" \
   "$folder/packages/system/system-test" -g BatchSystem -n soakUnderFaults
+PERSIMMON_SOAK_SECONDS="$seconds" PERSIMMON_SOAK_SEED="$seed" \
+  "$folder/packages/system/system-test" -g BatchSystem -n soakThroughFaultyLinks
