--- a/support/soak.sh
+++ b/support/soak.sh
@@ -14,6 +14,6 @@
   PERSIMMON_FUZZ_SEED=$((seed + i * 1000)) "$folder/packages/batch/batch-test" -g MaintenanceFuzz
 done
 PERSIMMON_SOAK_SECONDS="$seconds" PERSIMMON_SOAK_SEED="$seed" \
-  "$folder/packages/system/system-test" -g BatchSystem -n soakUnderFaults
+  "$folder/packages/system/system-test" -g BatchSystemSoak -n soakUnderFaults
 PERSIMMON_SOAK_SECONDS="$seconds" PERSIMMON_SOAK_SEED="$seed" \
-  "$folder/packages/system/system-test" -g BatchSystem -n soakThroughFaultyLinks
+  "$folder/packages/system/system-test" -g BatchSystemSoak -n soakThroughFaultyLinks
