--- a/packages/batch/src/controller-losses.cc
+++ b/packages/batch/src/controller-losses.cc
@@ -11,8 +11,7 @@
 
 namespace {
 
-// A task crashes its worker as it starts or while it works, so a run that has worked for this long
-// isn't suspected.
+// A run that has worked for this long isn't suspected: over days, workers crash for other reasons.
 constexpr std::chrono::minutes suspicionTime {10};
 
 template <typename Runs>
--- a/packages/batch/src/loss_attribution.cc
+++ b/packages/batch/src/loss_attribution.cc
@@ -16,6 +16,10 @@
 // Fewer workers can be lost together by the tasks of several jobs.
 constexpr std::size_t minCommonCause = 3;
 
+// Losses that are compared with each other at most, so that the loss of a zone takes a bounded time
+// for each worker. As many show a common cause well enough.
+constexpr std::size_t maxCompared = 64;
+
 // Time after which a loss can't be confirmed or excused any more.
 constexpr std::chrono::minutes retention {1};
 
@@ -75,6 +79,8 @@
         added.push_back(recent_.emplace(std::move(worker), entry {std::move(loss), now, false}));
     }
     for (const auto &item : added) {
+        if (item->second.excused)
+            continue; // together with an earlier one
         const auto &loss = item->second.loss;
         if (isCommonCause(lostTogether(loss, silent)))
             excuse(loss, runs);
@@ -94,16 +100,20 @@
     });
 }
 
-// Returns the losses within the window around a known loss, including it.
+// Returns losses within the window around a known loss, including it.
 std::vector<const worker_loss *> loss_attribution::lostTogether(
         const worker_loss &loss, std::span<const worker_loss> silent) const
 {
-    std::vector<const worker_loss *> together;
+    std::vector<const worker_loss *> together {&loss};
     for (const auto &[worker, other] : recent_) {
-        if (isTogether(other.loss, loss))
+        if (together.size() >= maxCompared)
+            return together;
+        if (&other.loss != &loss && isTogether(other.loss, loss))
             together.push_back(&other.loss);
     }
     for (const auto &other : silent) {
+        if (together.size() >= maxCompared)
+            return together;
         if (isTogether(other, loss) && !isKnown(other.worker, other.incarnation))
             together.push_back(&other);
     }
--- a/packages/batch/test/loss_attribution-test.cc
+++ b/packages/batch/test/loss_attribution-test.cc
@@ -67,6 +67,15 @@
             countOf(attribution.add({lossOf("w1", "a", false)}, silent, now), run_loss::Excused));
 }
 
+// Guards against a loss of many workers of which only those that are compared are excused.
+TEST(LossAttribution, excusesEveryWorkerOfALostZone)
+{
+    std::vector<worker_loss> zone;
+    for (int i = 0; i < 500; ++i)
+        zone.push_back(lossOf("w" + std::to_string(i), std::to_string(i % 50), false));
+    CHECK_EQUAL(500, countOf(attribution.add(zone, zone, now), run_loss::Excused));
+}
+
 // Guards against a job that crashes the workers of all its tasks at once and is excused for it.
 TEST(LossAttribution, blamesAJobThatRanOnAllLostWorkers)
 {
