Check that crashes of workers can be traced by the id of their job

Change: a process test causes three crashes with the real programs, and finds them in the logs and in persimmonctl explain.

--- a/packages/system/test/batch-test.cc
+++ b/packages/system/test/batch-test.cc
@@ -90,6 +90,38 @@
     CHECK_TRUE(text.find("0.0.0 on i-0") != std::string::npos);
 }
 
+// Guards against a job that fails because one of its tasks crashes workers, and whose logs and
+// explanation don't say so.
+TEST(BatchSystem, crashesOfWorkersAreTraceableByJobId)
+{
+    batch_system system;
+    platform::standin_fleet fleet(4);
+    CHECK_TRUE(system.configure());
+    const auto body = addJob(fleet, "c1", {1000, 500, 1, false, true});
+    CHECK_TRUE(waitUntil(milliseconds {5000}, [&] {
+        return system.sendToGateway("POST", "/q/c1", body).status == 200;
+    }));
+    CHECK_TRUE(system.stepUntil(fleet, [&] {
+        for (auto &worker : fleet.workers) {
+            if (fleet.crashedWorkers.erase(worker.id) > 0)
+                fleet.restart(worker, nowMs());
+        }
+        return system.jobState("c1") == "failed";
+    }));
+    CHECK_EQUAL(0, fleet.violations.size());
+    // Lines are written by a thread of their own.
+    const auto isLogged = [&system](const char *first, const char *second, const char *detail) {
+        return waitUntil(milliseconds {3000}, [&] {
+            return system.logLines(first, second).find(detail) != std::string::npos;
+        });
+    };
+    for (const auto *run : {"run=1 ", "run=2 ", "run=3 "})
+        CHECK_TRUE(isLogged("event=task.loss job=c1 ", run, "kind=crashed"));
+    CHECK_TRUE(isLogged("event=worker.lost", "evidence=restarted", "runs=1"));
+    CHECK_TRUE(isLogged("event=job.ended", "job=c1", "outcome=failed"));
+    CHECK_TRUE(system.explain("c1").find("lost") != std::string::npos);
+}
+
 // Guards against a graceful shutdown that drops a request or hangs.
 TEST(BatchSystem, gatewayStopsGracefully)
 {
