--- a/packages/batch/src/controller-losses.cc
+++ b/packages/batch/src/controller-losses.cc
@@ -112,8 +112,9 @@
 {
     if (runs.empty())
         return;
-    propose_(record_losses {runs, wallMs},
-             [this, runs, done = std::move(done),
+    const record_losses value {runs, wallMs};
+    propose_(value,
+             [this, runs = std::move(runs), done = std::move(done),
               alive = std::weak_ptr<int>(alive_)](const status &committed) {
                  const bool current = !alive.expired();
                  for (const auto &lost : runs)
--- a/packages/batch/test/capacity-test.cc
+++ b/packages/batch/test/capacity-test.cc
@@ -80,12 +80,12 @@
             fleet.leader.submit(draw(4) == 0 ? "/q0/" + id : "/q2/" + id,
                                 leader_fixture::pressingTasks(1U + static_cast<unsigned>(draw(6)),
                                                               1 + draw(8)));
-            const auto accelerators = draw(9);
+            const std::int64_t accelerators = draw(9);
             fleet.setCapacity(draw(6), {accelerators * 1000, 8000, accelerators});
             if (draw(20) == 0)
                 fleet.crashRange(draw(6), 1);
             if (draw(20) == 0)
-                fleet.cutOffWorkerOf({id, 0, 0, 0}, 1000 * draw(9));
+                fleet.cutOffWorkerOf({id, 0, 0, 0}, std::int64_t {1000} * draw(9));
             if (draw(40) == 0)
                 fleet.changeLeader();
             fleet.run(400);
--- a/packages/batch/test/loss_attribution-test.cc
+++ b/packages/batch/test/loss_attribution-test.cc
@@ -71,6 +71,7 @@
 TEST(LossAttribution, excusesEveryWorkerOfALostZone)
 {
     std::vector<worker_loss> zone;
+    zone.reserve(500);
     for (int i = 0; i < 500; ++i)
         zone.push_back(lossOf("w" + std::to_string(i), std::to_string(i % 50), false));
     CHECK_EQUAL(500, countOf(attribution.add(zone, zone, now), run_loss::Excused));
