Reserve a rack only for a gang that can fit, and share what is kept

Cause: reserveRack reserved the rack with the most free accelerators for each gang that had waited 1.5 s, without asking whether the gang fits there when the rack is empty, and for all of its workers. For a unit within its tenant's reservation this had no end. Related, found on the same path: idle workers kept for urgent work were counted over all pools; long-running work had no access to them in a busy fleet, though it must be restarted at any fill; a need that newer work could not place was skipped for older work that may use more workers.

Work that has waited 1.5 s may use reserved racks, last, while under half of its pool is in use; long-running work always may. Reserves and fill are kept by pool. Skipped needs know what they were allowed to use.

--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -90,11 +90,11 @@
 public:
     schedule_output plan(const schedule_input &input);
 
-    // Drops all claims and the reserve. Called when a term begins.
+    // Drops all claims and reserves. Called when a term begins.
     void reset()
     {
         claims_.clear();
-        reserve_.reset();
+        reserves_.clear();
     }
 
 private:
@@ -106,12 +106,14 @@
         time_point createdAt {};
     };
 
+    using urgent_reserves = std::map<std::string, urgent_reserve>; // by pool
+
     class pass;
 
     void dropClaims(const schedule_input &input);
 
     std::map<task_id, claim> claims_;
-    urgent_reserve reserve_;
+    urgent_reserves reserves_;
 };
 
 } // namespace persimmon::batch
--- a/packages/batch/include/batch/urgent_reserve.h
+++ b/packages/batch/include/batch/urgent_reserve.h
@@ -20,8 +20,6 @@
     // Returns the number of idle workers to keep.
     std::size_t size(time_point now) const;
 
-    void reset() { taken_.clear(); }
-
 private:
     struct taking
     {
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -8,13 +8,6 @@
 
 namespace {
 
-// A gang that has waited this long reserves a rack: units that come after it in the pass aren't
-// placed there. Other work that has waited this long uses idle workers that are kept for urgent
-// work, unless most of the fleet is in use.
-constexpr std::int64_t reserveAfterMs = 1500;
-
-constexpr std::size_t maxReservedRacks = 2;
-
 // Limits the attempts at preemption in one pass. Further units wait for the next pass.
 constexpr std::size_t maxPreemptions = 8;
 
@@ -36,15 +29,15 @@
 } // namespace
 
 scheduler::pass::pass(const schedule_input &input, std::map<task_id, claim> &claims,
-                      urgent_reserve &reserve)
+                      urgent_reserves &reserves)
     : input_(input)
     , claims_(claims)
-    , reserve_(reserve)
-    , reserved_(reserve.size(input.now))
+    , reserves_(reserves)
     , uses_(detail::urgentUse(*input.state))
     , available_(input.workers.size())
     , beingFreed_(input.workers.size())
     , allWorkers_(input.workers.size())
+    , isReserved_(input.workers.size())
 {
     std::iota(allWorkers_.begin(), allWorkers_.end(), std::size_t {0});
     // Workers and busy workers are both ordered by id.
@@ -64,34 +57,11 @@
     for (const auto &[task, run] : *input.stopping)
         recordStopping(task, run);
     collectSuspects();
-    amount capacity;
-    amount available;
-    for (std::size_t i = 0; i < input.workers.size(); ++i) {
-        if (isIdle(i))
-            countIdle(i, 1);
-        capacity += reportOf(i).capacity;
-        available += available_[i];
-    }
-    fleetInUse_ = available.cpu * 2 < capacity.cpu
-            && available.accelerators * 2 < capacity.accelerators;
+    collectPools();
     for (const auto &[id, item] : claims_)
         applyClaim(item, 1);
 }
 
-// Returns whether a worker may get tasks and all of its accelerators are free.
-bool scheduler::pass::isIdle(std::size_t worker) const
-{
-    const auto accelerators = reportOf(worker).capacity.accelerators;
-    return input_.workers[worker].schedulable && accelerators > 0
-            && available_[worker].accelerators == accelerators;
-}
-
-void scheduler::pass::countIdle(std::size_t worker, int change)
-{
-    idle_ += static_cast<std::size_t>(change);
-    idleInRack_[reportOf(worker).rack] += static_cast<std::size_t>(change);
-}
-
 // Takes resources of a worker, or returns them if they are negative.
 void scheduler::pass::take(std::size_t worker, const amount &resources)
 {
@@ -100,34 +70,6 @@
     countIdle(worker, change + (isIdle(worker) ? 1 : 0));
 }
 
-bool scheduler::pass::takesWholeWorker(const unit &item, std::size_t worker) const
-{
-    return item.spec->need.accelerators * 2 > reportOf(worker).capacity.accelerators;
-}
-
-// Work must not wait for long beside idle workers of a fleet that is mostly idle.
-bool scheduler::pass::mayUseReserve(const unit &item) const
-{
-    return item.job->source.priority == 0
-            || (!fleetInUse_ && input_.wallMs >= item.job->acceptedMs + reserveAfterMs);
-}
-
-// Removes idle workers, which come last, that are kept for urgent work.
-void scheduler::pass::keepReserve(const unit &item, std::vector<std::size_t> &from) const
-{
-    if (reserved_ == 0 || mayUseReserve(item))
-        return;
-    auto allowed = idle_ - std::min(idle_, reserved_);
-    std::erase_if(from, [&](std::size_t worker) {
-        if (!isIdle(worker))
-            return false;
-        if (allowed == 0)
-            return true;
-        --allowed;
-        return false;
-    });
-}
-
 void scheduler::pass::recordStopping(const task_id &task, std::uint32_t run)
 {
     const auto *job = input_.state->findJob(task.job);
@@ -221,9 +163,11 @@
 {
     const auto need = item.spec->charged();
     const auto count = item.placedTogether() ? item.indexes.size() : 1;
+    const auto access = accessOf(item);
     return std::ranges::any_of(unplaceableNeeds_, [&](const unplaceable_need &blocked) {
         return *blocked.pool == item.job->source.pool && atLeast(need, blocked.need)
-                && count >= blocked.count && (item.inOneRack() || !blocked.inOneRack);
+                && count >= blocked.count && (item.inOneRack() || !blocked.inOneRack)
+                && blocked.access.covers(access);
     });
 }
 
@@ -232,8 +176,8 @@
     if (!item.isUnconstrained() || isDominated(item))
         return;
     unplaceableNeeds_.push_back({&item.job->source.pool, item.spec->charged(),
-                                 item.placedTogether() ? item.indexes.size() : 1,
-                                 item.inOneRack()});
+                                 item.placedTogether() ? item.indexes.size() : 1, item.inOneRack(),
+                                 accessOf(item)});
 }
 
 bool scheduler::pass::isEligible(const unit &item, std::size_t worker) const
@@ -296,10 +240,11 @@
 {
     const auto need = item.spec->charged();
     const auto &workers = input_.workers;
+    const bool mayUseReserved = accessOf(item).reservedRacks;
     std::vector<std::size_t> found;
     for (const auto worker : from) {
         if (timesFitting(available_[worker], need) > 0 && isEligible(item, worker)
-            && hasTicket(item, worker) && !reservedRacks_.contains(reportOf(worker).rack))
+            && hasTicket(item, worker) && (mayUseReserved || !isReserved_[worker]))
             found.push_back(worker);
     }
     const auto &rack = item.spec->preferredRack;
@@ -312,9 +257,9 @@
         const auto idle = isIdle(worker) ? idleInRack_.at(reportOf(worker).rack) : 0;
         // A worker that is lost under a suspected task takes fewer others with it.
         const auto others = item.suspected ? runCount(worker) : 0;
-        return std::tuple(unproven, notPreferred, others, workers[worker].penalty,
-                          heartbeatRank(item, worker), available_[worker].accelerators, idle,
-                          available_[worker].cpu);
+        return std::tuple(static_cast<bool>(isReserved_[worker]), unproven, notPreferred, others,
+                          workers[worker].penalty, heartbeatRank(item, worker),
+                          available_[worker].accelerators, idle, available_[worker].cpu);
     });
     keepReserve(item, found);
     return found;
@@ -437,32 +382,7 @@
             ++startedOn_[{place.worker, stepOf(id)}];
     }
     if (item.job->source.priority == 0 && wholeWorkers > 0)
-        reserve_.recordTaken(input_.now, wholeWorkers);
-}
-
-// Reserves the rack with the most free accelerators for a gang that could not be placed.
-void scheduler::pass::reserveRack(const unit &item)
-{
-    if (reservedRacks_.size() >= maxReservedRacks
-        || input_.wallMs < item.job->acceptedMs + reserveAfterMs)
-        return;
-    const std::string_view *best = nullptr;
-    std::int64_t maxFree = -1;
-    for (const auto &[rack, members] : racks_) {
-        if (reservedRacks_.contains(rack))
-            continue;
-        std::int64_t freeAccelerators = 0;
-        for (const auto worker : members) {
-            if (isEligible(item, worker))
-                freeAccelerators += std::max<std::int64_t>(0, available_[worker].accelerators);
-        }
-        if (freeAccelerators > maxFree) {
-            maxFree = freeAccelerators;
-            best = &rack;
-        }
-    }
-    if (best != nullptr)
-        reservedRacks_.insert(*best);
+        reserves_[item.job->source.pool].recordTaken(input_.now, wholeWorkers);
 }
 
 } // namespace persimmon::batch
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -10,7 +10,7 @@
 class scheduler::pass
 {
 public:
-    pass(const schedule_input &input, std::map<task_id, claim> &claims, urgent_reserve &reserve);
+    pass(const schedule_input &input, std::map<task_id, claim> &claims, urgent_reserves &reserves);
 
     schedule_output run();
 
@@ -43,13 +43,42 @@
         std::vector<std::size_t> victims;
     };
 
-    // A need that could not be placed. Units that need at least as much are skipped in this pass.
+    // Which of the workers that are kept for other units a unit may use.
+    struct reserve_access
+    {
+        bool idleWorkers = false; // kept for urgent work
+        bool reservedRacks = false; // kept for gangs
+
+        bool covers(const reserve_access &other) const
+        {
+            return idleWorkers >= other.idleWorkers && reservedRacks >= other.reservedRacks;
+        }
+    };
+
+    // A need that could not be placed. Units that need at least as much and may use no more workers
+    // are skipped in this pass.
     struct unplaceable_need
     {
         const std::string *pool = nullptr;
         amount need;
         std::size_t count = 0;
         bool inOneRack = false;
+        reserve_access access;
+    };
+
+    struct pool_use
+    {
+        amount capacity;
+        amount available;
+        std::size_t idle = 0; // schedulable workers without any task
+        std::size_t reserved = 0; // idle workers that are kept for urgent work
+
+        // Returns whether more than half of the processors and of the accelerators are in use.
+        bool mostlyInUse() const
+        {
+            return available.cpu * 2 < capacity.cpu
+                    && available.accelerators * 2 < capacity.accelerators;
+        }
     };
 
     // scheduler-pass.cc
@@ -60,11 +89,6 @@
     std::vector<std::size_t> candidates(const unit &item,
                                         const std::vector<std::size_t> &from) const;
     std::vector<slot> fillWorkers(const unit &item, const std::vector<std::size_t> &from) const;
-    bool isIdle(std::size_t worker) const;
-    bool takesWholeWorker(const unit &item, std::size_t worker) const;
-    bool mayUseReserve(const unit &item) const;
-    void keepReserve(const unit &item, std::vector<std::size_t> &from) const;
-    void countIdle(std::size_t worker, int change);
     void take(std::size_t worker, const amount &resources);
     std::int64_t heartbeatRank(const unit &item, std::size_t worker) const;
     bool isEligible(const unit &item, std::size_t worker) const;
@@ -78,7 +102,6 @@
     bool hasTicket(const unit &item, std::size_t worker) const;
     void requestAdvice(const unit &item);
     void start(const unit &item, const std::vector<slot> &slots);
-    void reserveRack(const unit &item);
     void applyClaim(const claim &item, int sign);
     void recordStopping(const task_id &task, std::uint32_t run);
     std::uint32_t activeOn(std::size_t worker, const step_key &step) const;
@@ -87,6 +110,16 @@
         return *input_.workers[worker].report;
     }
 
+    // reserve.cc
+    void collectPools();
+    bool isIdle(std::size_t worker) const;
+    void countIdle(std::size_t worker, int change);
+    bool takesWholeWorker(const unit &item, std::size_t worker) const;
+    reserve_access accessOf(const unit &item) const;
+    void keepReserve(const unit &item, std::vector<std::size_t> &from) const;
+    std::int64_t tasksInEmpty(const unit &item, const std::vector<std::size_t> &workers) const;
+    void reserveRack(const unit &item);
+
     // preemption.cc
     void collectVictims();
     bool preempt(const unit &item);
@@ -100,8 +133,7 @@
 
     const schedule_input &input_;
     std::map<task_id, claim> &claims_;
-    urgent_reserve &reserve_;
-    std::size_t reserved_; // idle workers that only urgent work may use
+    urgent_reserves &reserves_; // by pool
     std::map<std::string, detail::urgent_use> uses_; // by tenant
     std::vector<amount> available_; // by worker; negative if claimed resources are not free yet
     std::vector<amount> beingFreed_; // resources of runs that are being stopped, by worker
@@ -121,9 +153,9 @@
     std::map<std::string_view, std::vector<std::size_t>> racks_;
     std::vector<std::size_t> allWorkers_;
     std::map<std::string_view, std::size_t> idleInRack_; // workers without any task
-    std::size_t idle_ = 0; // schedulable workers without any task
-    bool fleetInUse_ = false; // more than half of the processors and of the accelerators
+    std::map<std::string_view, pool_use> pools_;
     std::set<std::string_view> reservedRacks_;
+    std::vector<bool> isReserved_; // by worker: in a reserved rack, and of use to its gang
     std::vector<unplaceable_need> unplaceableNeeds_;
     std::vector<victim> victims_;
     std::vector<std::vector<std::size_t>> victimsOn_; // by worker
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -36,7 +36,7 @@
 schedule_output scheduler::plan(const schedule_input &input)
 {
     dropClaims(input);
-    return pass(input, claims_, reserve_).run();
+    return pass(input, claims_, reserves_).run();
 }
 
 } // namespace persimmon::batch
