Excuse a task only once without evidence, and start suspects apart

Cause: workers lost within 1.5 s that ran different jobs count as lost to a common cause, and each run on them is excused. Tasks of several jobs that crash after the same time start together again and are lost together again, so the excuse was granted each time: it had no way back.

Change: a task that was excused before is excused again only with evidence against the tasks: a worker that ran nothing is lost too, or tasks of different ages are lost together. To get such evidence soon, suspects of every second job start 3 s later (wait cause `suspected`). A new leader finds earlier excuses in the ledger. The times of this hold and of isolation now also end if the clock is set back.

Ruled out: a limit for all excuses.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -208,6 +208,9 @@
     worker_loss lossOf(const std::string &worker, std::vector<assignment> runs) const;
     bool mayHaveCrashedWorker(const assignment &run, const worker_loss &loss,
                               const std::map<task_id, tracked_run> &reported) const;
+    void describeSuspects(worker_loss &loss, const std::map<task_id, tracked_run> &reported) const;
+    std::optional<milliseconds> ageOf(const assignment &run, const worker_loss &loss,
+                                      const std::map<task_id, tracked_run> &reported) const;
     std::vector<worker_loss> silentWorkers(time_point now) const;
     void recordLosses(std::vector<lost_run> runs, std::int64_t wallMs,
                       std::function<void(status)> done);
--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -155,6 +155,7 @@
 
     // Returns the number of losses that aren't excused.
     std::uint32_t counted() const;
+    bool wasExcused() const;
 
     // Returns whether the task is taken for the cause of the losses.
     bool isConclusive() const;
--- a/packages/batch/include/batch/loss_attribution.h
+++ b/packages/batch/include/batch/loss_attribution.h
@@ -40,7 +40,7 @@
     bool isKnown(const std::string &worker, std::int64_t incarnation) const;
     std::vector<const worker_loss *> lostTogether(const worker_loss &loss,
                                                   std::span<const worker_loss> silent) const;
-    void excuse(const worker_loss &loss, std::vector<lost_run> &runs);
+    void excuse(const worker_loss &loss, bool hasEvidence, std::vector<lost_run> &runs);
     void prune(time_point now);
 
     std::multimap<std::string, entry> recent_; // by worker
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -56,6 +56,7 @@
     NoRoom, // no suitable worker has enough free resources
     Preempting, // waits for preempted runs to stop
     NoAdvice, // the advice service has not allowed a worker yet
+    Suspected, // may have crashed its worker and is started apart from other suspects
 };
 
 std::string_view toName(wait_cause cause);
--- a/packages/batch/include/batch/worker_loss.h
+++ b/packages/batch/include/batch/worker_loss.h
@@ -4,6 +4,7 @@
 #include "batch/ledger.h"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -32,7 +33,13 @@
     std::vector<assignment> suspects; // of them, those that may have crashed the worker
     std::size_t unreportedRuns = 0; // of them, those that the worker had not reported as running
 
+    // For how long the youngest suspect was running, of those under which a worker was lost before
+    // if there are any. Nothing if this leader doesn't know.
+    std::optional<milliseconds> suspectAge;
+    bool wasExcused = false; // the loss of a worker under one of the suspects was excused before
+
     std::set<std::string> jobs() const; // of all runs
+    bool isIdle() const { return runs.empty(); }
 };
 
 // Logs a lost worker and the inferred end of each of its runs.
--- a/packages/batch/src/controller-losses.cc
+++ b/packages/batch/src/controller-losses.cc
@@ -56,10 +56,42 @@
             loss.evidence = loss_evidence::Replaced;
         loss.unreportedRuns = countUnreported(loss.runs, *reported);
     }
+    describeSuspects(loss, *reported);
+    return loss;
+}
+
+void controller::describeSuspects(worker_loss &loss,
+                                  const std::map<task_id, tracked_run> &reported) const
+{
     std::ranges::copy_if(loss.runs, std::back_inserter(loss.suspects), [&](const assignment &run) {
-        return mayHaveCrashedWorker(run, loss, *reported);
+        return mayHaveCrashedWorker(run, loss, reported);
     });
-    return loss;
+    const auto &losses = state_.losses();
+    const auto wasLostBefore
+            = [&losses](const assignment &run) { return losses.contains(run.task); };
+    const bool anyLostBefore = std::ranges::any_of(loss.suspects, wasLostBefore);
+    for (const auto &run : loss.suspects) {
+        const auto record = losses.find(run.task);
+        loss.wasExcused |= record != losses.end() && record->second.wasExcused();
+        if (anyLostBefore && !wasLostBefore(run))
+            continue;
+        const auto age = ageOf(run, loss, reported);
+        if (age)
+            loss.suspectAge = std::min(*age, loss.suspectAge.value_or(*age));
+    }
+}
+
+// Returns for how long a lost run was working. Nothing is known of it if its worker has not
+// reported to this leader.
+std::optional<milliseconds> controller::ageOf(const assignment &run, const worker_loss &loss,
+                                              const std::map<task_id, tracked_run> &reported) const
+{
+    if (!workers_.contains(loss.worker))
+        return std::nullopt;
+    const auto tracked = reported.find(run.task);
+    if (tracked == reported.end() || tracked->second.run != run.run)
+        return milliseconds {0};
+    return std::chrono::duration_cast<milliseconds>(loss.lastHeartbeat - tracked->second.started);
 }
 
 bool controller::mayHaveCrashedWorker(const assignment &run, const worker_loss &loss,
@@ -86,6 +118,7 @@
         for (const auto &[task, run] : state_.runsOn(id))
             loss.runs.push_back(run);
         loss.unreportedRuns = countUnreported(loss.runs, worker.runs);
+        describeSuspects(loss, worker.runs);
     }
     return silent;
 }
--- a/packages/batch/src/loss_attribution.cc
+++ b/packages/batch/src/loss_attribution.cc
@@ -49,6 +49,23 @@
     return static_cast<std::size_t>(began) * 2 < losses.size();
 }
 
+// Returns whether tasks are unlikely to be the cause: a worker that ran nothing was lost too, or
+// tasks that started apart were lost together. Suspects of several jobs are started apart for this.
+bool isUnlikelyCausedByTasks(std::span<const worker_loss *const> losses)
+{
+    std::optional<milliseconds> shortest;
+    std::optional<milliseconds> longest;
+    for (const auto *loss : losses) {
+        if (loss->isIdle())
+            return true;
+        if (!loss->suspectAge)
+            continue;
+        shortest = std::min(shortest.value_or(*loss->suspectAge), *loss->suspectAge);
+        longest = std::max(longest.value_or(*loss->suspectAge), *loss->suspectAge);
+    }
+    return shortest && *longest - *shortest > togetherWindow;
+}
+
 void append(const worker_loss &loss, run_loss kind, std::vector<lost_run> &runs)
 {
     const bool alone = std::ranges::all_of(loss.suspects, [&](const assignment &run) {
@@ -82,12 +99,14 @@
         if (item->second.excused)
             continue; // together with an earlier one
         const auto &loss = item->second.loss;
-        if (isCommonCause(lostTogether(loss, silent)))
-            excuse(loss, runs);
-        else
-            append(loss,
-                   loss.evidence == loss_evidence::Silent ? run_loss::Suspected : run_loss::Crashed,
-                   runs);
+        const auto together = lostTogether(loss, silent);
+        if (isCommonCause(together))
+            excuse(loss, isUnlikelyCausedByTasks(together), runs);
+        if (item->second.excused)
+            continue;
+        append(loss,
+               loss.evidence == loss_evidence::Silent ? run_loss::Suspected : run_loss::Crashed,
+               runs);
     }
     return runs;
 }
@@ -120,11 +139,14 @@
     return together;
 }
 
-// Excuses the runs of a loss and of all others within the window around it.
-void loss_attribution::excuse(const worker_loss &loss, std::vector<lost_run> &runs)
+// Excuses the runs of a loss and of all others within the window around it. Without evidence, those
+// with a task that was excused before are left out.
+void loss_attribution::excuse(const worker_loss &loss, bool hasEvidence,
+                              std::vector<lost_run> &runs)
 {
     for (auto &[worker, other] : recent_) {
-        if (isTogether(other.loss, loss) && !std::exchange(other.excused, true))
+        if (isTogether(other.loss, loss) && (hasEvidence || !other.loss.wasExcused)
+            && !std::exchange(other.excused, true))
             append(other.loss, run_loss::Excused, runs);
     }
 }
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -112,6 +112,11 @@
 
 void scheduler::pass::scheduleUnit(const unit &item)
 {
+    if (item.startsLater) {
+        countWaiting(item);
+        output_.waits.push_back({item.first, wait_cause::Suspected});
+        return;
+    }
     const auto claimed = claims_.find(item.first);
     const bool waiting = claimed != claims_.end();
     if (waiting)
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -20,6 +20,8 @@
         return "preempting";
     case wait_cause::NoAdvice:
         return "no_advice";
+    case wait_cause::Suspected:
+        return "suspected";
     }
     return "unknown";
 }
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -3,6 +3,8 @@
 #include "preemption_timing.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <tuple>
 
 namespace persimmon::batch::detail {
@@ -15,6 +17,10 @@
 // A task that finds no worker of its own for this time is started beside others.
 constexpr std::int64_t isolationWaitMs = 2000;
 
+// Suspects of every second job wait for this time. It is longer than the times between losses that
+// are taken for one, so that jobs that crash workers are told from a common cause.
+constexpr std::int64_t startApartMs = 3000;
+
 bool isReady(const job_record &job, std::uint32_t occurrence, const step_spec &spec)
 {
     return std::ranges::all_of(spec.dependsOn, [&](std::uint32_t dependency) {
@@ -22,20 +28,54 @@
     });
 }
 
+// Returns whether less than a limit has passed since the newest loss. The clock may have been set
+// back since then.
+bool isWithin(const loss_record &record, std::int64_t limitMs, std::int64_t wallMs)
+{
+    return wallMs >= record.newestMs && wallMs < record.newestMs + limitMs;
+}
+
+// Returns every second job with a suspect.
+std::set<std::string_view> jobsToStartLater(const ledger &state)
+{
+    std::set<std::string_view> later;
+    std::string_view previous;
+    bool isSecond = true;
+    for (const auto &[task, record] : state.losses()) {
+        if (record.counted() == 0 || task.job == previous)
+            continue;
+        previous = task.job;
+        isSecond = !isSecond;
+        if (isSecond)
+            later.insert(task.job);
+    }
+    return later;
+}
+
+// What is common to the units of a pass.
+struct collection
+{
+    const schedule_input &input;
+    std::set<std::string_view> startLater;
+    std::vector<unit> units;
+};
+
 // Marks a unit if a worker was lost under one of its tasks.
-void markSuspected(const task_id &task, const schedule_input &input, unit &item)
+void markSuspected(const task_id &task, const collection &all, unit &item)
 {
-    const auto &losses = input.state->losses();
+    const auto &losses = all.input.state->losses();
     const auto found = losses.find(task);
     if (found == losses.end() || found->second.counted() == 0)
         return;
+    const auto wallMs = all.input.wallMs;
     item.suspected = true;
     item.isolated |= found->second.counted() >= isolationLosses
-            && input.wallMs < found->second.newestMs + isolationWaitMs;
+            && isWithin(found->second, isolationWaitMs, wallMs);
+    item.startsLater
+            |= all.startLater.contains(task.job) && isWithin(found->second, startApartMs, wallMs);
 }
 
-void addGang(const step_state &step, const schedule_input &input, unit item,
-             std::vector<unit> &units)
+void addGang(const step_state &step, unit item, collection &all)
 {
     if (step.activeCount > 0)
         return;
@@ -46,13 +86,12 @@
             item.avoidedWorkers.push_back(step.tasks[i].failedOn);
         auto task = item.first;
         task.index = i;
-        markSuspected(task, input, item);
+        markSuspected(task, all, item);
     }
-    units.push_back(std::move(item));
+    all.units.push_back(std::move(item));
 }
 
-void addTasks(const step_state &step, const schedule_input &input, const unit &base,
-              std::vector<unit> &units)
+void addTasks(const step_state &step, const unit &base, collection &all)
 {
     unit fresh = base;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
@@ -61,7 +100,7 @@
             continue;
         unit retried = base;
         retried.first.index = i;
-        markSuspected(retried.first, input, retried);
+        markSuspected(retried.first, all, retried);
         if (task.failures == 0 && !retried.suspected) {
             fresh.indexes.push_back(i);
             continue;
@@ -70,12 +109,12 @@
         if (task.failures > 0)
             retried.avoidedWorkers = {task.failedOn};
         retried.lastAttempt = task.failures > 0 && task.failures + 1 >= base.job->source.attempts;
-        units.push_back(std::move(retried));
+        all.units.push_back(std::move(retried));
     }
     if (fresh.indexes.empty())
         return;
     fresh.first.index = fresh.indexes.front();
-    units.push_back(std::move(fresh));
+    all.units.push_back(std::move(fresh));
 }
 
 // Returns the most accelerators that one occurrence of a job uses at once if its steps run one
@@ -111,14 +150,14 @@
     return times;
 }
 
-void addUnits(const job_record &job, const schedule_input &input, bool guaranteed,
-              std::vector<unit> &units)
+void addUnits(const job_record &job, bool guaranteed, collection &all)
 {
+    const auto wallMs = all.input.wallMs;
     const auto objective = job.objectiveMs();
     const auto toEnd = timesToEnd(job.spec);
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         const auto due = dueMs(job, occurrence);
-        if (due > input.wallMs)
+        if (due > wallMs)
             break;
         for (std::uint32_t stepIndex = 0; stepIndex < job.occurrences[occurrence].size();
              ++stepIndex) {
@@ -136,13 +175,12 @@
                                                 finalDeadlineMs(job, occurrence) - toEnd[stepIndex],
                                                 guaranteed});
             // Long-running tasks have value for as long as they run.
-            base.pastFinalDeadline
-                    = !spec.longRunning && input.wallMs > finalDeadlineMs(job, occurrence);
+            base.pastFinalDeadline = !spec.longRunning && wallMs > finalDeadlineMs(job, occurrence);
             base.guaranteed = guaranteed;
             if (spec.gang)
-                addGang(step, input, std::move(base), units);
+                addGang(step, std::move(base), all);
             else
-                addTasks(step, input, base, units);
+                addTasks(step, base, all);
         }
     }
 }
@@ -180,20 +218,20 @@
 std::vector<unit> collectUnits(const schedule_input &input,
                                const std::map<std::string, urgent_use> &uses)
 {
-    std::vector<unit> units;
+    collection all {input, jobsToStartLater(*input.state), {}};
     input.state->forEachOpenJob([&](const job_record &job) {
         if (job.ended())
             return;
         const auto use = uses.find(job.tenant);
         const bool guaranteed
                 = job.source.priority == 0 && use != uses.end() && use->second.withinReservation();
-        addUnits(job, input, guaranteed, units);
+        addUnits(job, guaranteed, all);
     });
-    std::ranges::stable_sort(units, {}, [](const unit &item) {
+    std::ranges::stable_sort(all.units, {}, [](const unit &item) {
         return std::tuple(!item.guaranteed, item.pastFinalDeadline, item.job->source.priority,
                           item.latestStartMs);
     });
-    return units;
+    return std::move(all.units);
 }
 
 } // namespace persimmon::batch::detail
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -24,6 +24,7 @@
     std::vector<std::string> avoidedWorkers; // workers on which a task of the unit has failed
     bool suspected = false; // a worker was lost under one of its tasks
     bool isolated = false; // takes only workers that run nothing of other jobs
+    bool startsLater = false; // waits, so that it doesn't start together with other suspects
 
     // Returns whether a task of the unit has failed before.
     bool retried() const { return !avoidedWorkers.empty(); }
--- a/packages/batch/test/crash-test.cc
+++ b/packages/batch/test/crash-test.cc
@@ -26,6 +26,31 @@
         CHECK_TRUE(fleet.leader.stateOf("deadly") == job_state::Failed);
     }
 
+    // Runs deadly jobs that are handed in one after another, each with a task for a whole worker,
+    // beside others, and checks that each is given up in time and that the others are done.
+    void checkDeadlyJobsGivenUp(crash_fleet & fleet, int deadlyJobs, std::int64_t apartMs,
+                                bool changesLeader = false)
+    {
+        fleet.leader.configure(1);
+        fleet.crashUnder([](const task_id &task) { return task.job.starts_with("deadly"); });
+        for (int i = 0; i < 100; ++i) {
+            if (i < deadlyJobs)
+                fleet.leader.submit("/q1/deadly" + std::to_string(i), leader_fixture::tasks(1, 8));
+            fleet.leader.submit("/q1/" + std::to_string(i), leader_fixture::tasks(1, 1));
+            fleet.run(i < deadlyJobs ? apartMs : 750);
+            if (changesLeader && i % 9 == 8)
+                fleet.changeLeader();
+        }
+        fleet.run(20'000);
+        for (int i = 0; i < deadlyJobs; ++i) {
+            const auto id = "deadly" + std::to_string(i);
+            CHECK_TRUE(fleet.startsOf({id, 0, 0, 0}) <= maxStarts);
+            CHECK_TRUE(fleet.leader.stateOf(id) == job_state::Failed);
+        }
+        for (int i = 0; i < 100; ++i)
+            CHECK_TRUE(fleet.leader.stateOf(std::to_string(i)) == job_state::Done);
+    }
+
     // Loses the workers of a range again and again, and checks that their jobs end as done.
     void checkInnocent(crash_fleet & fleet, int first, int count)
     {
@@ -164,6 +189,43 @@
     CHECK_EQUAL(0, fleet.overfullStarts());
 }
 
+// Guards against jobs that crash their workers at the same time and excuse each other each time,
+// because together they look like a loss of power.
+TEST(Crashes, jobsThatCrashWorkersTogetherAreGivenUp)
+{
+    for (const int jobs : {3, 4, 6}) {
+        crash_fleet fleet({.downMs = 4500, .crashAfterMs = 2000});
+        checkDeadlyJobsGivenUp(fleet, jobs, 300);
+    }
+}
+
+// Guards against the same where the crashes are spread over some time, come at once, or come late.
+TEST(Crashes, jobsThatCrashWorkersAboutTogetherAreGivenUp)
+{
+    for (const std::int64_t apartMs : {50, 500, 900}) {
+        for (const std::int64_t crashAfterMs : {600, 1500, 4000}) {
+            crash_fleet fleet({.downMs = 4500, .taskMs = 6000, .crashAfterMs = crashAfterMs});
+            checkDeadlyJobsGivenUp(fleet, 3, apartMs);
+        }
+    }
+}
+
+// Guards against the same where nothing is heard of the crashed workers any more, or only later.
+TEST(Crashes, jobsThatCrashWorkersTogetherAreGivenUpWhereTheseStaySilent)
+{
+    crash_fleet silent({.workers = 24, .comesBack = crash_return::Never, .crashAfterMs = 2000});
+    checkDeadlyJobsGivenUp(silent, 3, 300);
+    crash_fleet late({.downMs = 12'000, .crashAfterMs = 2000});
+    checkDeadlyJobsGivenUp(late, 3, 300);
+}
+
+// Guards against a new leader that grants such an excuse once more.
+TEST(Crashes, jobsThatCrashWorkersTogetherAreGivenUpByChangingLeaders)
+{
+    crash_fleet fleet({.downMs = 4500, .crashAfterMs = 2000});
+    checkDeadlyJobsGivenUp(fleet, 3, 300, true);
+}
+
 // Guards against failing the jobs of a rack that loses power again and again.
 TEST(Crashes, jobsOfALostRackAreDone)
 {
@@ -271,3 +333,37 @@
         step();
     CHECK_EQUAL(3, leader.state.findJob("s")->taskOf(suspect).run);
 }
+
+// Guards against suspects of several jobs that start together again, so that it can't be told from
+// their losses whether they or a common cause is to blame, and against a suspect that waits for
+// long.
+TEST(Crashes, suspectsOfSeveralJobsStartApart)
+{
+    leader_fixture leader;
+    leader.configure(1);
+    for (const auto *id : {"a", "b"}) {
+        leader.submit(std::string("/q1/") + id, leader_fixture::tasks(1, 8));
+        const task_id task {id, 0, 0, 0};
+        leader.commit(start_runs {{{task, 1, "gone", 1}}, leader.wallMs});
+        leader.commit(record_losses {{{task, 1, run_loss::Crashed, true}}, leader.wallMs});
+        leader.commit(end_runs {{{task, 1, end_kind::Lost, ""}}, leader.wallMs});
+    }
+    const auto step = [&] {
+        for (const auto *worker : {"w1", "w2"}) {
+            auto report = leader.report(worker);
+            for (const auto &[task, run] : leader.state.runsOn(worker))
+                report.running.push_back({task, run.run, "", 10, 0});
+            leader.sendHeartbeat(report);
+        }
+        leader.advance(100);
+    };
+    const auto active = [&](const std::string &id) {
+        return leader.state.findJob(id)->taskOf({id, 0, 0, 0}).active;
+    };
+    for (int ms = 0; ms < 2800; ms += 100)
+        step();
+    CHECK_TRUE(active("a") != active("b"));
+    for (int ms = 0; ms < 600; ms += 100)
+        step();
+    CHECK_TRUE(active("a") && active("b"));
+}
--- a/packages/batch/test/crash_fleet.h
+++ b/packages/batch/test/crash_fleet.h
@@ -24,6 +24,8 @@
         std::int64_t downMs = 3000;
         std::int64_t taskMs = 2000; // duration of a task
         std::int64_t stopMs = 300; // duration of a stop
+        // A task that crashes its worker does so when it has worked for this time.
+        std::int64_t crashAfterMs = 0;
     };
 
     explicit crash_fleet(options values)
@@ -149,6 +151,14 @@
         item.stopping.clear();
     }
 
+    bool runsIntoCrash(const worker &item) const
+    {
+        return std::ranges::any_of(item.tasks, [this](const auto &entry) {
+            const auto &[task, state] = entry;
+            return deadly_(task) && leader.wallMs - state.sinceMs >= options_.crashAfterMs;
+        });
+    }
+
     void beginStop(worker &item, const task_id &task)
     {
         item.stopping[task] = {item.tasks.at(task).run, leader.wallMs};
@@ -202,6 +212,8 @@
         endStops(item);
         if (leader.wallMs < item.cutOffUntilMs)
             return;
+        if (runsIntoCrash(item))
+            return crash(item);
         endCompletedTasks(item);
         auto &report = item.report;
         ++report.sequence;
@@ -231,7 +243,7 @@
                 continue;
             ++starts_[start.task];
             item.tasks[start.task] = {start.run, leader.wallMs};
-            crashes |= deadly_(start.task);
+            crashes |= deadly_(start.task) && options_.crashAfterMs == 0;
         }
         checkCapacity(item, orders);
         if (!crashes)
--- a/packages/batch/test/loss_attribution-test.cc
+++ b/packages/batch/test/loss_attribution-test.cc
@@ -32,6 +32,17 @@
                 lossOf("w3", sameJob ? "a" : "c", began)};
     }
 
+    // Three losses of workers with tasks that were excused before and had run for equally long.
+    std::vector<worker_loss> threeRepeatedLosses()
+    {
+        auto losses = threeLosses(false, false);
+        for (auto &loss : losses) {
+            loss.wasExcused = true;
+            loss.suspectAge = milliseconds {2000};
+        }
+        return losses;
+    }
+
     static std::size_t countOf(const std::vector<lost_run> &runs, run_loss kind)
     {
         return static_cast<std::size_t>(std::ranges::count_if(
@@ -89,6 +100,40 @@
     CHECK_EQUAL(3, countOf(attribution.add(threeLosses(false, true), {}, now), run_loss::Crashed));
 }
 
+// Guards against tasks of several jobs that crash workers at one time and are excused each time.
+TEST(LossAttribution, excusesOnlyOnceWithoutEvidence)
+{
+    CHECK_EQUAL(3, countOf(attribution.add(threeRepeatedLosses(), {}, now), run_loss::Crashed));
+}
+
+// Guards against blaming tasks for a loss of power that also took a worker without any task.
+TEST(LossAttribution, excusesAgainWhereAnIdleWorkerIsLostToo)
+{
+    auto idle = lossOf("w4", "a", false);
+    idle.runs.clear();
+    idle.suspects.clear();
+    std::vector<worker_loss> silent {idle};
+    CHECK_EQUAL(3, countOf(attribution.add(threeRepeatedLosses(), silent, now), run_loss::Excused));
+}
+
+// Guards against blaming tasks for a loss of power that took tasks of different ages.
+TEST(LossAttribution, excusesAgainWhereTasksHadStartedApart)
+{
+    auto losses = threeRepeatedLosses();
+    losses.back().suspectAge = milliseconds {5000};
+    CHECK_EQUAL(3, countOf(attribution.add(losses, {}, now), run_loss::Excused));
+}
+
+// Guards against blaming a bystander of such tasks that is lost for the first time.
+TEST(LossAttribution, excusesTheFirstLossBesideRepeatedOnes)
+{
+    auto losses = threeRepeatedLosses();
+    losses.back().wasExcused = false;
+    const auto runs = attribution.add(losses, {}, now);
+    CHECK_EQUAL(2, countOf(runs, run_loss::Crashed));
+    CHECK_EQUAL(1, countOf(runs, run_loss::Excused));
+}
+
 // Guards against counting losses as one that are seconds apart.
 TEST(LossAttribution, blamesRunsOfWorkersThatAreLostOneAfterAnother)
 {
