--- a/packages/batch/include/batch/service.h
+++ b/packages/batch/include/batch/service.h
@@ -82,4 +82,7 @@
 // depends on itself or a later step.
 status checkJob(const job_spec &spec);
 
+// Checks that an id can be a part of the names of tasks. Fails with InvalidValue.
+status checkJobId(std::string_view id);
+
 } // namespace persimmon::batch
--- a/packages/batch/src/ledger.cc
+++ b/packages/batch/src/ledger.cc
@@ -23,6 +23,9 @@
 // Losses after which a task is given up in any case.
 constexpr std::uint32_t maxCountedLosses = 4;
 
+// Some thousand years. A point in time after a few of them still fits into its type.
+constexpr double maxSlackMs = 1e14;
+
 } // namespace
 
 std::string shortName(const task_id &task)
@@ -47,8 +50,8 @@
 
 std::int64_t job_record::objectiveMs() const
 {
-    return static_cast<std::int64_t>(source.slackFactor * static_cast<double>(criticalPathMs()))
-            + source.objectiveMs;
+    const auto slackMs = source.slackFactor * static_cast<double>(criticalPathMs());
+    return static_cast<std::int64_t>(std::min(slackMs, maxSlackMs)) + source.objectiveMs;
 }
 
 bool wave_record::done() const
--- a/packages/batch/src/service.cc
+++ b/packages/batch/src/service.cc
@@ -11,6 +11,7 @@
 
 constexpr std::uint32_t maxTasksOfJob = 20000;
 constexpr std::size_t maxPayloadBytes = 4000;
+constexpr std::size_t maxIdBytes = 200;
 
 error invalidTable(std::string detail, std::string field)
 {
@@ -64,17 +65,26 @@
         const auto &step = spec.steps[i];
         if (step.count == 0)
             return invalid("must be at least 1", "count");
+        // Compared in each step, because the sum over all steps may overflow.
         tasks += std::uint64_t {step.count} * std::max(1U, spec.occurrences);
+        if (tasks > maxTasksOfJob)
+            return invalid("must not exceed " + std::to_string(maxTasksOfJob) + " tasks in total",
+                           "count");
         const auto later = [i](std::uint32_t dependency) { return dependency >= i; };
         if (std::ranges::any_of(step.dependsOn, later))
             return invalid("must refer to an earlier step", "dependsOn");
     }
-    if (tasks > maxTasksOfJob)
-        return invalid("must not exceed " + std::to_string(maxTasksOfJob) + " tasks in total",
-                       "count");
     return std::monostate {};
 }
 
+status checkJobId(std::string_view id)
+{
+    const auto isPrintable = [](char c) { return c > ' ' && c <= '~'; };
+    if (!id.empty() && id.size() <= maxIdBytes && std::ranges::all_of(id, isPrintable))
+        return std::monostate {};
+    return error {result_code::InvalidValue, "must be 1 to 200 printable characters", "id", {}};
+}
+
 service::service(const ledger &state, controller &workers, propose_function propose)
     : state_(state)
     , workers_(workers)
@@ -111,7 +121,10 @@
     const auto *source = valueOf(resolved).matchedQueue;
     const auto &tenantName = valueOf(resolved).tenant;
     const auto &id = valueOf(resolved).id;
-    if (auto checked = checkJob(spec); failed(checked)) {
+    auto checked = checkJobId(id);
+    if (!failed(checked))
+        checked = checkJob(spec);
+    if (failed(checked)) {
         logRequest("job.refused", from, id, version, errorOf(checked).detail);
         return done(checked);
     }
--- a/packages/batch/test/service-test.cc
+++ b/packages/batch/test/service-test.cc
@@ -150,3 +150,46 @@
     CHECK_TRUE(codeOf("old") == result_code::UnknownWorkspace);
     CHECK_TRUE(codeOf("new") == result_code::Ok);
 }
+
+// Guards against a job that ends each leader in turn: the number of its tasks overflows and passes
+// the limit, and no memory can hold them.
+TEST(Service, refusesJobsWhoseTaskCountOverflows)
+{
+    job_spec spec;
+    spec.occurrences = 0x80000000;
+    spec.steps = {leader_fixture::tasks(0xffffffff, 1), leader_fixture::tasks(0xffffffff, 1),
+                  leader_fixture::tasks(2, 1)}; // 2^64 tasks
+    CHECK_TRUE(failed(checkJob(spec)));
+    spec.occurrences = 0xffffffff;
+    CHECK_TRUE(failed(checkJob(spec)));
+    spec.occurrences = 1;
+    spec.steps = {leader_fixture::tasks(20'000, 1)};
+    CHECK_FALSE(failed(checkJob(spec)));
+}
+
+// Guards against a job without an id, or with one that no task name can hold: the heartbeats of the
+// workers that run it are refused, so it takes one worker after the other.
+TEST(Service, refusesIdsThatNoTaskNameCanHold)
+{
+    leader.configure(1);
+    for (const auto &id : {std::string(), std::string("a b"), std::string("a\n"),
+                           std::string("\xff"), std::string(201, 'a')})
+        CHECK_TRUE(submitCode({"host", "/q1/" + id, ""}) == result_code::InvalidValue);
+    CHECK_TRUE(submitCode({"host", "/q1/5c0e7a21d94b36f8", ""}) == result_code::Ok);
+}
+
+// Guards against an objective that doesn't fit into its type.
+TEST(Service, boundsObjectives)
+{
+    job_record job;
+    job.source.slackFactor = 1e6;
+    for (int i = 0; i < 20'000; ++i) {
+        auto step = leader_fixture::tasks(1, 1);
+        step.estimateMs = 0xffffffff;
+        if (i > 0)
+            step.dependsOn = {static_cast<std::uint32_t>(i - 1)};
+        job.spec.steps.push_back(step);
+    }
+    CHECK_TRUE(job.objectiveMs() > 0);
+    CHECK_TRUE(job.objectiveMs() <= 200'000'000'000'000);
+}
--- a/packages/cluster/include/cluster/address.h
+++ b/packages/cluster/include/cluster/address.h
@@ -14,6 +14,9 @@
 // Returns the id of "IP" or "IP:port", or nothing if the text is neither.
 std::optional<consensus::voter_id> idOf(std::string_view address);
 
+// Returns whether a text is "IP:port" with a port from 1 to 65535.
+bool isEndpoint(std::string_view text);
+
 // Returns the ids of all valid addresses and skips the others.
 std::vector<consensus::voter_id> idsOf(std::span<const std::string> addresses);
 
--- a/packages/cluster/src/address.cc
+++ b/packages/cluster/src/address.cc
@@ -1,5 +1,7 @@
 #include "cluster/address.h"
 
+#include <charconv>
+
 #include <arpa/inet.h>
 
 namespace persimmon::cluster {
@@ -13,6 +15,17 @@
     return ntohl(parsed.s_addr);
 }
 
+bool isEndpoint(std::string_view text)
+{
+    const auto colon = text.find(':');
+    if (colon == std::string_view::npos || !idOf(text))
+        return false;
+    const auto *last = text.data() + text.size();
+    std::uint16_t port = 0;
+    const auto [end, failure] = std::from_chars(text.data() + colon + 1, last, port);
+    return failure == std::errc {} && end == last && port != 0;
+}
+
 std::vector<consensus::voter_id> idsOf(std::span<const std::string> addresses)
 {
     std::vector<consensus::voter_id> ids;
--- a/packages/cluster/test/address-test.cc
+++ b/packages/cluster/test/address-test.cc
@@ -18,3 +18,12 @@
     CHECK_FALSE(idOf("host:80").has_value());
     CHECK_FALSE(idOf("").has_value());
 }
+
+// Guards against a text taken for an address that no connection can use.
+TEST(Address, tellsEndpoints)
+{
+    CHECK_TRUE(isEndpoint("10.1.0.22:1") && isEndpoint("10.1.0.22:65535"));
+    for (const auto *text : {"10.1.0.22", "10.1.0.22:", "10.1.0.22:0", "10.1.0.22:65536",
+                             "10.1.0.22:+1", "10.1.0.22:1:1", "host:80", ":80", ""})
+        CHECK_FALSE_TEXT(isEndpoint(text), text);
+}
--- a/packages/http/test/server-test.cc
+++ b/packages/http/test/server-test.cc
@@ -164,3 +164,17 @@
 {
     checkRefused(post("Content-Length: 6000\r\n", std::string(6000, 'x')), "HTTP/1.1 413");
 }
+
+// Guards against a request line that ends the process or leaves it without an answer.
+TEST(http_server, survivesOddPaths)
+{
+    for (const auto *path : {"/%", "/%zz", "/%4", "/a%00b", "//", "/?%zz=%", "http://[::1/a",
+                             "/a\x80\xff", "*", "/\"<>"}) {
+        const auto request
+                = std::string("GET ") + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        CHECK_TRUE_TEXT(serve(request).starts_with("HTTP/1.1 "), path);
+    }
+    received.clear();
+    serve(post("Content-Length: 4\r\n", "body"));
+    LONGS_EQUAL(1, received.size());
+}
