Restart after a full disk as soon as it takes writes again

Another operator's report: the disks of counted machines were full one after another, and long after the last had room again changes were refused.

A limit of file sizes fails writes instead of ending the process by SIGXFSZ; the test uses it as a full disk.

--- a/packages/apps/include/apps/data_folder.h
+++ b/packages/apps/include/apps/data_folder.h
@@ -15,4 +15,7 @@
 result<std::vector<std::uint32_t>> loadInitialVoters(const std::string &folder,
                                                      const std::vector<std::uint32_t> &configured);
 
+// Writes, syncs and removes a small file in the folder. Fails with StorageFailed.
+status probeWrite(const std::string &folder);
+
 } // namespace persimmon::apps
--- a/packages/apps/src/data_folder.cc
+++ b/packages/apps/src/data_folder.cc
@@ -19,6 +19,9 @@
 // File content for an instance that joined an existing group and has no initial voters.
 const std::string noVotersContent = "none\n";
 
+// A block of usual file systems, so that a probe needs room of its own.
+constexpr std::size_t probeBytes = 4096;
+
 error storageError(const std::string &what, int code)
 {
     return {result_code::StorageFailed, what + ": " + std::system_category().message(code), {}, {}};
@@ -104,4 +107,12 @@
     return configured;
 }
 
+status probeWrite(const std::string &folder)
+{
+    const auto path = folder + "/probe";
+    auto written = writeAndSync(path, O_WRONLY | O_CREAT | O_TRUNC, std::string(probeBytes, ' '));
+    ::unlink(path.c_str());
+    return written;
+}
+
 } // namespace persimmon::apps
--- a/packages/apps/src/stop_signals.cc
+++ b/packages/apps/src/stop_signals.cc
@@ -26,6 +26,8 @@
     kj::UnixEventPort::captureSignal(SIGINT);
     // A write to a closed connection fails with EPIPE, so the signal is not needed.
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
+    // A write beyond the limit of a file's size fails like one to a full disk.
+    std::signal(SIGXFSZ, SIG_IGN); // NOLINT(bugprone-signal-handler)
 }
 
 void onStopSignal(wire::event_loop &loop, std::function<void()> callback)
--- a/packages/apps/test/storage-test.cc
+++ b/packages/apps/test/storage-test.cc
@@ -1,10 +1,12 @@
 #include "apps/data_folder.h"
+#include "apps/disk_probe.h"
 #include "apps/watched_storage.h"
 #include "test-voter.h"
 
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <future>
 
 #include <CppUTest/TestHarness.h>
 
@@ -63,3 +65,55 @@
         CHECK_TRUE(failed(voters) && errorOf(voters).code == result_code::CorruptFile);
     }
 }
+
+TEST_GROUP(disk_probe)
+{
+    std::string folder;
+    std::promise<void> restart;
+    std::future<void> restarted = restart.get_future();
+
+    void setup() override
+    {
+        auto pattern = (std::filesystem::temp_directory_path() / "probe-test-XXXXXX").string();
+        folder = ::mkdtemp(pattern.data());
+    }
+
+    void teardown() override
+    {
+        std::filesystem::remove_all(folder);
+    }
+
+    bool restartsWithin(milliseconds time)
+    {
+        return restarted.wait_for(time) == std::future_status::ready;
+    }
+};
+
+// Guards against restarting while the disk takes no writes, and against waiting when it does again.
+TEST(disk_probe, restartsOnceTheFolderTakesWrites)
+{
+    std::filesystem::remove_all(folder);
+    const apps::disk_probe probe(folder, milliseconds {60'000}, [this] { restart.set_value(); });
+    CHECK_FALSE(restartsWithin(milliseconds {500}));
+    std::filesystem::create_directory(folder);
+    CHECK_TRUE(restartsWithin(milliseconds {2000}));
+}
+
+// Guards against restarts in quick succession after a failure of another kind.
+TEST(disk_probe, waitsWhereTheFolderTakesWrites)
+{
+    const apps::disk_probe probe(folder, milliseconds {600}, [this] { restart.set_value(); });
+    CHECK_FALSE(restartsWithin(milliseconds {300}));
+    CHECK_TRUE(restartsWithin(milliseconds {2000}));
+    CHECK_TRUE(std::filesystem::is_empty(folder));
+}
+
+// Guards against a shutdown that waits for the disk.
+TEST(disk_probe, endsAtOnce)
+{
+    {
+        const apps::disk_probe probe(folder, milliseconds {60'000},
+                                     [this] { restart.set_value(); });
+    }
+    CHECK_FALSE(restartsWithin(milliseconds {0}));
+}
--- a/packages/system/test/batch-test.cc
+++ b/packages/system/test/batch-test.cc
@@ -147,3 +147,28 @@
                 != std::string::npos;
     }));
 }
+
+// Guards against a scheduler that stays out of the group, or ends again and again, after its disk
+// was full: with each disk full in turn, changes were refused for good.
+TEST(BatchSystem, disksThatAreFullInTurnLeaveNoHarm)
+{
+    constexpr std::int64_t ackMs = 5000; // a change is acknowledged in this time
+    constexpr milliseconds fullFor {4500};
+    batch_system system;
+    CHECK_TRUE(system.configure());
+    int version = 3;
+    for (int i = 0; i < schedulers; ++i) {
+        auto &full = system.schedulerProcess(i);
+        full.limitFileSize(0);
+        CHECK_TRUE(system.configure(++version, (i + 1) % schedulers));
+        CHECK_EQUAL(-1, full.waitForExit(fullFor)); // forwards calls meanwhile
+        full.liftFileSizeLimit();
+        CHECK_EQUAL(32, full.waitForExit(milliseconds {1000}));
+        system.startScheduler(i, false);
+    }
+    for (int i = 0; i < schedulers; ++i) {
+        const auto sentMs = nowMs();
+        CHECK_TRUE(system.configure(++version, i));
+        CHECK_TRUE(nowMs() - sentMs < ackMs);
+    }
+}
--- a/packages/system/test/batch_system.h
+++ b/packages/system/test/batch_system.h
@@ -118,19 +118,21 @@
         return true;
     }
 
-    bool configure()
+    bool configure(int version = 3, int through = 0)
     {
-        const std::string body
-                = R"({"version":3,"services":[{"name":"pool"}],"routes":[{"name":"q","host":"h",)"
+        const std::string body = R"({"version":)" + std::to_string(version)
+                + R"(,"services":[{"name":"pool"}],"routes":[{"name":"q","host":"h",)"
                   R"("prefix":"/q/","service":"pool","timeout_ms":3000,"attempts":1,)"
                   R"("slack_factor":2,"slo_ms":1000,"priority":1}],)"
                   R"("tenants":[{"name":"t","api_keys":["key"]}]})";
         return waitUntil(milliseconds {10000}, [&] {
-            return call(scheduler(0), "PUT", "/config", body, {}, milliseconds {1000}).status
+            return call(scheduler(through), "PUT", "/config", body, {}, milliseconds {1000}).status
                     == 200;
         });
     }
 
+    process &schedulerProcess(int number) { return processes_.at(number); }
+
     http_response sendToGateway(const std::string &method, const std::string &path,
                                 const std::string &body = {}, const std::string &key = "key")
     {
--- a/packages/system/test/process.cc
+++ b/packages/system/test/process.cc
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 #include <utility>
@@ -55,6 +56,17 @@
         kill(pid_, number);
 }
 
+void process::limitFileSize(std::uint64_t bytes) const
+{
+    const rlimit limit {bytes, RLIM_INFINITY};
+    prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr);
+}
+
+void process::liftFileSizeLimit() const
+{
+    limitFileSize(RLIM_INFINITY);
+}
+
 void process::killNow()
 {
     if (pid_ <= 0)
--- a/packages/system/test/process.h
+++ b/packages/system/test/process.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 
+#include <cstdint>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -21,6 +22,11 @@
     bool running() const { return pid_ > 0; }
     void sendSignal(int number) const;
 
+    // Lets all writes beyond a file size fail from now on, as if the disk were full, or lifts the
+    // limit.
+    void limitFileSize(std::uint64_t bytes) const;
+    void liftFileSizeLimit() const;
+
     // Kills the process with SIGKILL and waits for its end.
     void killNow();
 
