End suspicions and bans, so that work starts in the end

Cause: a task under which a worker was lost was kept off each worker that ran another such task, for as long as both jobs lasted. The worker of a failed run was excluded for the rest of the job, and on its last attempt a task took no worker on which another job had failed.

Long-running work isn't kept off isolated workers. A unit that has waited 2 s takes banned workers, last: where too few others are eligible, or beside a pool that is mostly idle.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -212,6 +212,7 @@
     std::optional<milliseconds> ageOf(const assignment &run, const worker_loss &loss,
                                       const std::map<task_id, tracked_run> &reported) const;
     std::vector<worker_loss> silentWorkers(time_point now) const;
+    void excuseLongRuns(time_point now, std::int64_t wallMs);
     void recordLosses(std::vector<lost_run> runs, std::int64_t wallMs,
                       std::function<void(status)> done);
     void commitLosses(std::vector<worker_loss> losses, std::vector<run_end> ends, time_point now,
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -91,12 +91,8 @@
 public:
     schedule_output plan(const schedule_input &input);
 
-    // Drops all claims and reserves. Called when a term begins.
-    void reset()
-    {
-        claims_.clear();
-        reserves_.clear();
-    }
+    // Forgets all earlier passes. Called when a term begins.
+    void reset() { memory_ = {}; }
 
 private:
     // Resources reserved for a unit of priority 0 while the runs that occupy them are being
@@ -107,14 +103,19 @@
         time_point createdAt {};
     };
 
-    using urgent_reserves = std::map<std::string, urgent_reserve>; // by pool
+    // What a pass needs to know of those before it.
+    struct memory
+    {
+        std::map<task_id, claim> claims;
+        std::map<std::string, urgent_reserve> reserves; // by pool
+        std::map<task_id, time_point> waiting; // units without a place, and since when
+    };
 
     class pass;
 
     void dropClaims(const schedule_input &input);
 
-    std::map<task_id, claim> claims_;
-    urgent_reserves reserves_;
+    memory memory_;
 };
 
 } // namespace persimmon::batch
--- a/packages/batch/src/controller-losses.cc
+++ b/packages/batch/src/controller-losses.cc
@@ -123,6 +123,26 @@
     return silent;
 }
 
+// A task that works for long has not crashed its workers: its losses are excused, so that over days
+// the crashes of others don't add up against it.
+void controller::excuseLongRuns(time_point now, std::int64_t wallMs)
+{
+    std::vector<lost_run> excused;
+    for (const auto &[task, record] : state_.losses()) {
+        const auto &state = state_.findJob(task.job)->taskOf(task);
+        if (!state.active || record.counted() == 0)
+            continue;
+        const auto progress = progressOf({task, state.run, state.worker, state.incarnation});
+        if (!progress || now - progress->started < suspicionTime)
+            continue;
+        for (const auto &[run, loss] : record.runs) {
+            if (loss.kind != run_loss::Excused)
+                excused.push_back({task, run, run_loss::Excused, loss.alone});
+        }
+    }
+    recordLosses(std::move(excused), wallMs, {});
+}
+
 // A newer incarnation knows nothing of the runs of an earlier one.
 std::vector<worker_loss> controller::endRunsOfEarlierIncarnation(const worker_state &worker,
                                                                  std::vector<run_end> &ends) const
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -379,6 +379,7 @@
         return;
     lastCleanupMs_ = wallMs;
     removeGoneWorkers(now);
+    excuseLongRuns(now, wallMs);
     advice_.retainJobs([this](const std::string &id) {
         const auto *job = state_.findJob(id);
         return job != nullptr && !job->ended();
--- a/packages/batch/src/isolation.cc
+++ b/packages/batch/src/isolation.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-// A task that has worked for this long doesn't need a worker of its own any more.
+// A task that has worked for this long isn't kept apart from others any more.
 constexpr std::chrono::seconds isolationTime {10};
 
 } // namespace
@@ -19,22 +19,21 @@
     for (const auto &[task, record] : input_.state->losses()) {
         const auto &state = input_.state->findJob(task.job)->taskOf(task);
         const auto worker = workerIndexes_.find(state.worker);
-        if (!state.active || record.counted() == 0 || worker == workerIndexes_.end())
+        if (!state.active || record.counted() == 0 || worker == workerIndexes_.end()
+            || hasWorkedForLong(task))
             continue;
         auto &there = suspectsOn_[worker->second];
         there.jobs.insert(task.job);
-        there.isolated |= isIsolated(task, record, worker->second);
+        there.isolated |= record.counted() >= detail::isolationLosses
+                && !runsOtherJobs(worker->second, task.job);
     }
 }
 
-bool scheduler::pass::isIsolated(const task_id &task, const loss_record &record,
-                                 std::size_t worker) const
+bool scheduler::pass::hasWorkedForLong(const task_id &task) const
 {
-    if (record.counted() < detail::isolationLosses || runsOtherJobs(worker, task.job))
-        return false;
     const auto &state = input_.state->findJob(task.job)->taskOf(task);
     const auto progress = input_.progress({task, state.run, state.worker, state.incarnation});
-    return !progress || progress->started + isolationTime > input_.now;
+    return progress && progress->started + isolationTime <= input_.now;
 }
 
 bool scheduler::pass::runsOtherJobs(std::size_t worker, std::string_view job) const
@@ -54,11 +53,14 @@
             + (started == startedJobs_.end() ? 0 : started->second.size());
 }
 
+// Long-running work must not wait for long, so it isn't kept off isolated workers.
 bool scheduler::pass::mayShare(const unit &item, std::size_t worker) const
 {
     const auto &job = item.job->id;
     const auto there = suspectsOn_.find(worker);
-    if (there != suspectsOn_.end() && (there->second.isolated || item.suspected)
+    const bool isolatedThere
+            = there != suspectsOn_.end() && there->second.isolated && !item.spec->longRunning;
+    if (there != suspectsOn_.end() && (isolatedThere || item.keptApart)
         && std::ranges::any_of(there->second.jobs,
                                [&job](std::string_view other) { return other != job; }))
         return false;
--- a/packages/batch/src/reserve.cc
+++ b/packages/batch/src/reserve.cc
@@ -72,6 +72,13 @@
     return {item.job->source.priority == 0 || (shared && waited), shared && waited};
 }
 
+// Workers that are kept are used last, where they may be used.
+bool scheduler::pass::isKeptForOthers(std::size_t worker) const
+{
+    const auto there = suspectsOn_.find(worker);
+    return isReserved_[worker] || (there != suspectsOn_.end() && there->second.isolated);
+}
+
 // Removes idle workers, which come last, that are kept for urgent work.
 void scheduler::pass::keepReserve(const unit &item, std::vector<std::size_t> &from) const
 {
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Work that finds no other worker for this time is started on one where it has failed.
+constexpr milliseconds banLimit {2000};
+
 // Limits the attempts at preemption in one pass. Further units wait for the next pass.
 constexpr std::size_t maxPreemptions = 8;
 
@@ -28,11 +31,11 @@
 
 } // namespace
 
-scheduler::pass::pass(const schedule_input &input, std::map<task_id, claim> &claims,
-                      urgent_reserves &reserves)
+scheduler::pass::pass(const schedule_input &input, memory &earlier)
     : input_(input)
-    , claims_(claims)
-    , reserves_(reserves)
+    , memory_(earlier)
+    , claims_(earlier.claims)
+    , reserves_(earlier.reserves)
     , uses_(detail::urgentUse(*input.state))
     , available_(input.workers.size())
     , beingFreed_(input.workers.size())
@@ -105,12 +108,13 @@
 
 schedule_output scheduler::pass::run()
 {
-    for (const auto &item : detail::collectUnits(input_, uses_))
+    for (auto &item : detail::collectUnits(input_, uses_))
         scheduleUnit(item);
+    memory_.waiting = std::move(waiting_);
     return std::move(output_);
 }
 
-void scheduler::pass::scheduleUnit(const unit &item)
+void scheduler::pass::scheduleUnit(unit &item)
 {
     if (item.startsLater) {
         countWaiting(item);
@@ -121,7 +125,11 @@
     const bool waiting = claimed != claims_.end();
     if (waiting)
         applyClaim(claimed->second, -1);
-    const auto slots = !waiting && isDominated(item) ? std::vector<slot> {} : place(item);
+    auto slots = !waiting && isDominated(item) ? std::vector<slot> {} : place(item);
+    if (slots.empty() && mayIgnoreFailures(item)) {
+        item.ignoresFailures = true;
+        slots = place(item);
+    }
     if (!slots.empty()) {
         start(item, slots);
         if (waiting)
@@ -159,6 +167,8 @@
 
 void scheduler::pass::countWaiting(const unit &item)
 {
+    const auto earlier = memory_.waiting.find(item.first);
+    waiting_[item.first] = earlier == memory_.waiting.end() ? input_.now : earlier->second;
     ++output_.waiting;
     if (item.job->source.priority == 0)
         ++output_.urgentWaiting;
@@ -189,11 +199,9 @@
 {
     const auto &view = input_.workers[worker];
     const auto &report = *view.report;
-    if (!view.schedulable || report.pool != item.job->source.pool
-        || (item.lastAttempt && !view.trusted))
+    if (!view.schedulable || report.pool != item.job->source.pool)
         return false;
-    if (!item.avoidedWorkers.empty()
-        && std::ranges::find(item.avoidedWorkers, report.id) != item.avoidedWorkers.end())
+    if (!item.ignoresFailures && isBanned(item, worker))
         return false;
     if (!mayShare(item, worker))
         return false;
@@ -201,6 +209,27 @@
             || std::ranges::find(report.labels, item.spec->requiredLabel) != report.labels.end();
 }
 
+// Returns whether failures speak against a worker for a unit.
+bool scheduler::pass::isBanned(const unit &item, std::size_t worker) const
+{
+    const auto &view = input_.workers[worker];
+    return (item.lastAttempt && !view.trusted)
+            || std::ranges::find(item.avoidedWorkers, view.report->id) != item.avoidedWorkers.end();
+}
+
+// Returns whether a unit has waited for long enough to be placed on banned workers: where no other
+// worker is eligible, or where it would wait beside a pool that is mostly idle.
+bool scheduler::pass::mayIgnoreFailures(const unit &item) const
+{
+    if (!item.retried() && !item.lastAttempt)
+        return false;
+    const auto found = memory_.waiting.find(item.first);
+    if (found == memory_.waiting.end() || found->second + banLimit > input_.now)
+        return false;
+    return accessOf(item).reservedRacks
+            || tasksInEmpty(item, allWorkers_) < static_cast<std::int64_t>(item.indexes.size());
+}
+
 bool scheduler::pass::hasTicket(const unit &item, std::size_t worker) const
 {
     const auto &report = reportOf(worker);
@@ -262,7 +291,7 @@
         const auto idle = isIdle(worker) ? idleInRack_.at(reportOf(worker).rack) : 0;
         // A worker that is lost under a suspected task takes fewer others with it.
         const auto others = item.suspected ? runCount(worker) : 0;
-        return std::tuple(static_cast<bool>(isReserved_[worker]), unproven, notPreferred, others,
+        return std::tuple(isKeptForOthers(worker), unproven, notPreferred, others,
                           workers[worker].penalty, heartbeatRank(item, worker),
                           available_[worker].accelerators, idle, available_[worker].cpu);
     });
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -10,7 +10,7 @@
 class scheduler::pass
 {
 public:
-    pass(const schedule_input &input, std::map<task_id, claim> &claims, urgent_reserves &reserves);
+    pass(const schedule_input &input, memory &earlier);
 
     schedule_output run();
 
@@ -82,7 +82,7 @@
     };
 
     // scheduler-pass.cc
-    void scheduleUnit(const unit &item);
+    void scheduleUnit(unit &item);
     void countWaiting(const unit &item);
     std::vector<slot> place(const unit &item) const;
     std::vector<slot> placeInRack(const unit &item, bool &possible) const;
@@ -93,12 +93,14 @@
     std::int64_t heartbeatRank(const unit &item, std::size_t worker) const;
     bool isEligible(const unit &item, std::size_t worker) const;
     void collectSuspects();
-    bool isIsolated(const task_id &task, const loss_record &record, std::size_t worker) const;
+    bool hasWorkedForLong(const task_id &task) const;
     bool runsOtherJobs(std::size_t worker, std::string_view job) const;
     bool mayShare(const unit &item, std::size_t worker) const;
     std::size_t runCount(std::size_t worker) const;
     bool isDominated(const unit &item) const;
     void recordUnplaceable(const unit &item);
+    bool isBanned(const unit &item, std::size_t worker) const;
+    bool mayIgnoreFailures(const unit &item) const;
     bool hasTicket(const unit &item, std::size_t worker) const;
     void requestAdvice(const unit &item);
     void start(const unit &item, const std::vector<slot> &slots);
@@ -116,6 +118,7 @@
     void countIdle(std::size_t worker, int change);
     bool takesWholeWorker(const unit &item, std::size_t worker) const;
     reserve_access accessOf(const unit &item) const;
+    bool isKeptForOthers(std::size_t worker) const;
     void keepReserve(const unit &item, std::vector<std::size_t> &from) const;
     std::int64_t tasksInEmpty(const unit &item, const std::vector<std::size_t> &workers) const;
     void reserveRack(const unit &item);
@@ -132,8 +135,10 @@
                                                     const std::vector<std::size_t> &from) const;
 
     const schedule_input &input_;
+    memory &memory_; // of the passes before
+    std::map<task_id, time_point> waiting_; // units that wait in this pass, and since when
     std::map<task_id, claim> &claims_;
-    urgent_reserves &reserves_; // by pool
+    std::map<std::string, urgent_reserve> &reserves_; // by pool
     std::map<std::string, detail::urgent_use> uses_; // by tenant
     std::vector<amount> available_; // by worker; negative if claimed resources are not free yet
     std::vector<amount> beingFreed_; // resources of runs that are being stopped, by worker
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -28,7 +28,7 @@
 
 void scheduler::dropClaims(const schedule_input &input)
 {
-    std::erase_if(claims_, [&](const auto &item) {
+    std::erase_if(memory_.claims, [&](const auto &item) {
         const auto *job = input.state->findJob(item.first.job);
         return job == nullptr || job->ended() || item.second.createdAt + claimLimit < input.now
                 || job->taskOf(item.first).active;
@@ -38,7 +38,7 @@
 schedule_output scheduler::plan(const schedule_input &input)
 {
     dropClaims(input);
-    return pass(input, claims_, reserves_).run();
+    return pass(input, memory_).run();
 }
 
 } // namespace persimmon::batch
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -14,12 +14,13 @@
 // Completing an occurrence has no value once this many times its objective has passed.
 constexpr std::int64_t finalDeadlineObjectives = 3;
 
-// A task that finds no worker of its own for this time is started beside others.
+// A suspect that finds no worker without other suspects, or none of its own, for this time is
+// started beside others.
 constexpr std::int64_t isolationWaitMs = 2000;
 
 // Suspects of every second job wait for this time. It is longer than the times between losses that
 // are taken for one, so that jobs that crash workers are told from a common cause.
-constexpr std::int64_t startApartMs = 3000;
+constexpr std::int64_t startApartMs = 2500;
 
 bool isReady(const job_record &job, std::uint32_t occurrence, const step_spec &spec)
 {
@@ -69,8 +70,8 @@
         return;
     const auto wallMs = all.input.wallMs;
     item.suspected = true;
-    item.isolated |= found->second.counted() >= isolationLosses
-            && isWithin(found->second, isolationWaitMs, wallMs);
+    item.keptApart |= isWithin(found->second, isolationWaitMs, wallMs);
+    item.isolated |= item.keptApart && found->second.counted() >= isolationLosses;
     item.startsLater
             |= all.startLater.contains(task.job) && isWithin(found->second, startApartMs, wallMs);
 }
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -23,7 +23,9 @@
     bool lastAttempt = false; // the next failure fails the job
     std::vector<std::string> avoidedWorkers; // workers on which a task of the unit has failed
     bool suspected = false; // a worker was lost under one of its tasks
+    bool keptApart = false; // takes no worker with a suspect of another job
     bool isolated = false; // takes only workers that run nothing of other jobs
+    bool ignoresFailures = false; // may use avoided workers, and any worker on its last attempt
     bool startsLater = false; // waits, so that it doesn't start together with other suspects
 
     // Returns whether a task of the unit has failed before.
--- a/packages/batch/test/progress-test.cc
+++ b/packages/batch/test/progress-test.cc
@@ -63,8 +63,19 @@
         CHECK_EQUAL(2, activeTasks("a"));
     }
 
+    // Lets the newest run of a task fail on its worker.
+    void fail(const task_id &task)
+    {
+        const auto &state = leader.state.findJob(task.job)->taskOf(task);
+        auto report = leader.report(state.worker);
+        report.labels = {state.worker.substr(0, 1), "rack-1"};
+        report.ended.push_back({++ends_, task, state.run, end_kind::Failed, ""});
+        leader.sendHeartbeat(report);
+    }
+
 private:
     std::uint32_t percent_ = 0;
+    std::uint64_t ends_ = 0;
 };
 
 // Guards against a rack that is kept for a gang with too few workers of its kind: nothing else was
@@ -224,3 +235,58 @@
     advance(100, sendAll);
     CHECK_EQUAL(1, activeTasks("old"));
 }
+
+// Guards against a task that is never run again because its only eligible worker has failed it, on
+// its last attempt too.
+TEST(Progress, taskReturnsToItsOnlyWorker)
+{
+    const auto sendAll = [this] {
+        sendHeartbeats("a", 4);
+        sendHeartbeats("b", 1);
+    };
+    leader.configure(1);
+    sendAll();
+    auto step = leader_fixture::tasks(1, 1);
+    step.requiredLabel = "b";
+    leader.submit("/q1/a", step);
+    const task_id task {"a", 0, 0, 0};
+    for (std::uint32_t run = 1; run <= 3; ++run) {
+        advance(8000, sendAll); // longer than a worker is in quarantine
+        CHECK_EQUAL(run, leader.state.findJob("a")->taskOf(task).run);
+        fail(task);
+    }
+    CHECK_TRUE(leader.stateOf("a") == job_state::Failed);
+}
+
+// Guards against a gang that is never run again because one run has failed on all workers that it
+// fits.
+TEST(Progress, gangReturnsToItsOnlyWorkers)
+{
+    const auto sendAll = [this] { sendHeartbeats("a", 2); };
+    leader.configure(1);
+    sendAll();
+    leader.submit("/q1/a", gangOf(2));
+    advance(300, sendAll);
+    fail({"a", 0, 0, 0});
+    fail({"a", 0, 0, 1});
+    advance(8000, sendAll);
+    CHECK_EQUAL(2, leader.state.findJob("a")->taskOf({"a", 0, 0, 0}).run);
+    CHECK_EQUAL(2, activeTasks("a"));
+}
+
+// Guards against starting a task at once where it has just failed, while others are in use.
+TEST(Progress, taskWaitsForAnotherWorkerFirst)
+{
+    const auto sendAll = [this] { sendHeartbeats("a", 2); };
+    leader.configure(1);
+    sendAll();
+    leader.submit("/q1/busy", leader_fixture::tasks(1, 8));
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    advance(300, sendAll);
+    const task_id task {"a", 0, 0, 0};
+    fail(task);
+    advance(1500, sendAll);
+    CHECK_EQUAL(1, leader.state.findJob("a")->taskOf(task).run);
+    advance(2000, sendAll);
+    CHECK_EQUAL(2, leader.state.findJob("a")->taskOf(task).run);
+}
