Search for work that never starts

A RapidCheck test runs random jobs (gangs, labels, lasting and urgent work, jobs that crash or fail their workers, jobs that nothing can place) on a simulated fleet with crashes, cuts, failing workers, cancels and changes of the leader. The seeded check moves from entry's tests to support/, for all packages.

--- a/packages/batch/test/crash_fleet.h
+++ b/packages/batch/test/crash_fleet.h
@@ -26,6 +26,7 @@
         std::int64_t stopMs = 300; // duration of a stop
         // A task that crashes its worker does so when it has worked for this time.
         std::int64_t crashAfterMs = 0;
+        bool twoKinds = false; // every second worker is of kind b, the others of kind a
     };
 
     explicit crash_fleet(options values)
@@ -35,6 +36,9 @@
             boot(workers_.emplace_back(), i);
     }
 
+    // Sets the tasks that fail on a worker, by its place.
+    void failUnder(std::function<bool(const task_id &, int)> fails) { fails_ = std::move(fails); }
+
     // Sets the tasks that crash each worker that starts them.
     void crashUnder(std::function<bool(const task_id &)> deadly) { deadly_ = std::move(deadly); }
 
@@ -94,6 +98,26 @@
     // Returns how often a start has exceeded the capacity that its worker had reported.
     int overfullStarts() const { return overfullStarts_; }
 
+    // What a worker has left beside its tasks.
+    struct room
+    {
+        std::vector<std::string> labels;
+        std::string rack;
+        amount capacity;
+        amount available;
+    };
+
+    std::vector<room> rooms() const
+    {
+        std::vector<room> found;
+        for (const auto &item : workers_) {
+            if (item.up)
+                found.push_back({item.report.labels, item.report.rack, item.report.capacity,
+                                 availableOn(item)});
+        }
+        return found;
+    }
+
     leader_fixture leader;
 
 private:
@@ -133,6 +157,7 @@
         report.address = "10.0.0.1:" + std::to_string(place);
         report.pool = "pool";
         report.rack = "rack-" + std::to_string(place / options_.workersInRack);
+        report.labels = {options_.twoKinds && place % 2 == 1 ? "b" : "a", report.rack};
         report.capacity = {8000, 8000, 8};
     }
 
@@ -188,11 +213,26 @@
     {
         std::vector<task_id> completed;
         for (const auto &[task, state] : item.tasks) {
-            if (leader.wallMs - state.sinceMs >= options_.taskMs)
+            if (leader.wallMs - state.sinceMs >= options_.taskMs && !lasts(task))
                 completed.push_back(task);
         }
         for (const auto &task : completed)
-            end(item, task, end_kind::Done);
+            end(item, task, fails_(task, item.place) ? end_kind::Failed : end_kind::Done);
+    }
+
+    bool lasts(const task_id &task) const
+    {
+        return leader.state.findJob(task.job)->spec.steps[task.step].longRunning;
+    }
+
+    amount availableOn(const worker &item) const
+    {
+        auto available = item.report.capacity;
+        for (const auto *tasks : {&item.tasks, &item.stopping}) {
+            for (const auto &[task, state] : *tasks)
+                available -= leader.state.findJob(task.job)->spec.steps[task.step].charged();
+        }
+        return available;
     }
 
     void lapse(worker &item)
@@ -219,7 +259,8 @@
         ++report.sequence;
         report.running.clear();
         for (const auto &[task, state] : item.tasks) {
-            const auto percent = (leader.wallMs - state.sinceMs) * 100 / options_.taskMs;
+            const auto percent
+                    = lasts(task) ? 100 : (leader.wallMs - state.sinceMs) * 100 / options_.taskMs;
             report.running.push_back({task, state.run, "", static_cast<std::uint32_t>(percent), 0});
         }
         follow(item, leader.sendHeartbeat(report));
@@ -255,11 +296,7 @@
 
     void checkCapacity(const worker &item, const worker_orders &orders)
     {
-        auto available = item.report.capacity;
-        for (const auto *tasks : {&item.tasks, &item.stopping}) {
-            for (const auto &[task, state] : *tasks)
-                available -= leader.state.findJob(task.job)->spec.steps[task.step].charged();
-        }
+        const auto available = availableOn(item);
         const bool overfull
                 = available.cpu < 0 || available.memory < 0 || available.accelerators < 0;
         overfullStarts_ += overfull && !orders.starts.empty() ? 1 : 0;
@@ -268,6 +305,7 @@
     options options_;
     std::vector<worker> workers_;
     std::function<bool(const task_id &)> deadly_ = [](const task_id &) { return false; };
+    std::function<bool(const task_id &, int)> fails_ = [](const task_id &, int) { return false; };
     std::map<task_id, int> starts_;
     int lostBystanders_ = 0;
     int overfullStarts_ = 0;
--- a/packages/entry/test/request_core-fuzz-test.cc
+++ b/packages/entry/test/request_core-fuzz-test.cc
@@ -332,7 +332,7 @@
 // retries beyond the budget.
 TEST(request_core_fuzz, holdsInvariantsUnderRandomEvents)
 {
-    const bool success = test::checkSeeded("request core", 2000, [] {
+    const bool success = persimmon::test::checkSeeded("request core", 2000, [] {
         const auto events
                 = *rc::gen::resize(400,
                                    rc::gen::container<std::vector<std::uint32_t>>(
--- a/support/fuzz.sh
+++ b/support/fuzz.sh
@@ -9,7 +9,7 @@
   shift 2
 fi
 packages=("$@")
-[ "${#packages[@]}" -gt 0 ] || packages=(consensus placement control entry)
+[ "${#packages[@]}" -gt 0 ] || packages=(consensus placement control entry batch)
 end=$((SECONDS + minutes * 60))
 runs=0
 while [ "$SECONDS" -lt "$end" ]; do
--- a/packages/entry/test/seeded_check.h
+++ b/support/seeded_check.h
@@ -7,7 +7,7 @@
 #include <iostream>
 #include <string>
 
-namespace persimmon::entry::test {
+namespace persimmon::test {
 
 inline std::uint64_t environmentNumber(const char *name, std::uint64_t defaultValue)
 {
@@ -35,4 +35,4 @@
     return success;
 }
 
-} // namespace persimmon::entry::test
+} // namespace persimmon::test
