Keep the jobs of tenants and queues apart

A submission of a known id is a repetition only with the same content of the same caller; otherwise it is refused with 409 (key_reused). Who calls a public queue isn't known, so tenants aren't told apart there.

--- a/packages/batch/include/batch/service.h
+++ b/packages/batch/include/batch/service.h
@@ -68,6 +68,7 @@
     };
 
     result<route> resolve(const caller &from) const;
+    const job_record *ownJob(const route &at) const;
     void afterBarrier(std::function<void(status)> done);
 
     const ledger &state_;
--- a/packages/batch/src/service.cc
+++ b/packages/batch/src/service.cc
@@ -26,6 +26,23 @@
     return {result_code::OutcomeUnknown, reason.detail, {}, {}};
 }
 
+// A caller that outlives its request.
+struct stored_caller
+{
+    explicit stored_caller(const caller &from)
+        : host(from.host)
+        , path(from.path)
+        , key(from.key)
+    {
+    }
+
+    caller view() const { return {host, path, key}; }
+
+    std::string host;
+    std::string path;
+    std::string key;
+};
+
 void logRequest(std::string_view event, const caller &from, std::string_view id,
                 std::uint64_t version, std::string_view outcome)
 {
@@ -109,6 +126,17 @@
     return found;
 }
 
+// Returns the job with the id of a route if it is the caller's: of the same queue and tenant. Who
+// calls a public queue isn't known. Queues are told by their place, because names may change.
+const job_record *service::ownJob(const route &at) const
+{
+    const auto *job = state_.findJob(at.id);
+    if (job == nullptr || job->source.host != at.matchedQueue->host
+        || job->source.prefix != at.matchedQueue->prefix)
+        return nullptr;
+    return at.matchedQueue->isPublic || job->tenant == at.tenant ? job : nullptr;
+}
+
 void service::submit(std::int64_t wallMs, const caller &from, job_spec spec,
                      std::function<void(status)> done)
 {
@@ -128,10 +156,14 @@
         logRequest("job.refused", from, id, version, errorOf(checked).detail);
         return done(checked);
     }
-    if (state_.findJob(id) != nullptr) {
+    if (const auto *known = ownJob(valueOf(resolved)); known != nullptr && known->spec == spec) {
         logRequest("job.accepted", from, id, version, "known");
         return done(std::monostate {});
     }
+    if (state_.findJob(id) != nullptr) {
+        logRequest("job.refused", from, id, version, describe(result_code::KeyReused).name);
+        return done(error {result_code::KeyReused, "the id is taken by another job", "id", {}});
+    }
     logEvent("job.proposed",
              {{"job", id},
               {"tenant", tenantName},
@@ -156,19 +188,22 @@
     const auto resolved = resolve(from);
     if (failed(resolved))
         return done(errorOf(resolved));
-    const auto &id = valueOf(resolved).id;
-    if (const auto *job = state_.findJob(id); job != nullptr)
+    if (const auto *job = ownJob(valueOf(resolved)); job != nullptr)
         return done(job->state);
     // The local state may be outdated, so NotFound is returned only after a quorum has confirmed
     // it.
-    afterBarrier([this, id, done = std::move(done)](const status &current) {
-        if (failed(current))
-            return done(errorOf(current));
-        const auto *job = state_.findJob(id);
-        if (job == nullptr)
-            return done(error {result_code::NotFound, "no such job", "id", {}});
-        done(job->state);
-    });
+    afterBarrier(
+            [this, from = stored_caller {from}, done = std::move(done)](const status &current) {
+                if (failed(current))
+                    return done(errorOf(current));
+                const auto again = resolve(from.view());
+                if (failed(again))
+                    return done(errorOf(again));
+                const auto *job = ownJob(valueOf(again));
+                if (job == nullptr)
+                    return done(error {result_code::NotFound, "no such job", "id", {}});
+                done(job->state);
+            });
 }
 
 void service::cancel(std::int64_t wallMs, const caller &from,
--- a/packages/batch/test/service-test.cc
+++ b/packages/batch/test/service-test.cc
@@ -193,3 +193,42 @@
     CHECK_TRUE(job.objectiveMs() > 0);
     CHECK_TRUE(job.objectiveMs() <= 200'000'000'000'000);
 }
+
+// Guards against a tenant that reads or cancels the job of another, or of another queue of its own,
+// and against an id that is taken for a repetition although it names another job.
+TEST(Service, idsBelongToATenantAndAQueue)
+{
+    configuration value;
+    value.version = 1;
+    value.queues = {{"q1", "host", "/q1/", "pool", 1, 1, 1.0, 1, false, 0},
+                    {"q2", "host", "/q2/", "pool", 1, 1, 1.0, 1, false, 0}};
+    value.tenants = {{"owner", {"key"}, 0}, {"other", {"else"}, 0}};
+    CHECK_TRUE(configureCode(value) == result_code::Ok);
+    CHECK_TRUE(submitCode({"host", "/q1/a", "key"}) == result_code::Ok);
+    CHECK_TRUE(submitCode({"host", "/q1/a", "key"}) == result_code::Ok);
+    const auto findCode = [&](const caller &from) {
+        result_code code = result_code::Internal;
+        leader.queues.find(from, [&](const result<job_state> &found) {
+            code = failed(found) ? errorOf(found).code : result_code::Ok;
+        });
+        return code;
+    };
+    CHECK_TRUE(findCode({"host", "/q1/a", "key"}) == result_code::Ok);
+    for (const caller &from : {caller {"host", "/q1/a", "else"}, caller {"host", "/q2/a", "key"}}) {
+        CHECK_TRUE(findCode(from) == result_code::NotFound);
+        result_code code = result_code::Ok;
+        leader.queues.cancel(leader.wallMs, from, [&](const status &done) {
+            code = failed(done) ? errorOf(done).code : result_code::Ok;
+        });
+        CHECK_TRUE(code == result_code::NotFound);
+        CHECK_TRUE(submitCode(from) == result_code::KeyReused);
+    }
+    CHECK_TRUE(leader.stateOf("a") == job_state::Queued);
+    job_spec changed;
+    changed.steps = {leader_fixture::tasks(2, 1)};
+    result_code code = result_code::Ok;
+    leader.queues.submit(leader.wallMs, {"host", "/q1/a", "key"}, changed, [&](const status &done) {
+        code = failed(done) ? errorOf(done).code : result_code::Ok;
+    });
+    CHECK_TRUE(code == result_code::KeyReused);
+}
