Bound the starts in one answer to a heartbeat

Cause: all starts that are due went into one answer, each with the whole payload.

Change: an answer takes starts until 256 KiB are reached, urgent jobs first; what the worker then reports is no longer due, so the rest follows in the next answers. A single order is below that, as a payload has at most 4,000 bytes. A batch of 64 answers between nodes stays under 32 MiB.

--- a/packages/batch/src/controller-orders.cc
+++ b/packages/batch/src/controller-orders.cc
@@ -15,6 +15,13 @@
 
 namespace {
 
+// Starts in one answer, in bytes. A worker takes answers of up to 4 MiB; a batch of answers for
+// other nodes holds 64 of them.
+constexpr std::size_t maxStartBytes = 256 * 1024;
+
+// What an order takes beside its texts.
+constexpr std::size_t orderBytes = 64;
+
 // A lease counts from the sending of a heartbeat and is renewed by the answer to the next one,
 // which may be held as well. So a lease has to outlast several times for which answers are held.
 constexpr int holdsInLease = 5;
@@ -249,7 +256,15 @@
         else if (!contains(worker.report.ended, run) && !unsentOrders_.contains({task, run.run}))
             available -= state_.findJob(task.job)->spec.steps[task.step].charged();
     }
+    // A job with many tasks and a long payload would exceed what one answer can hold. The rest
+    // comes in the next answers, because what was started is no longer due then.
+    std::ranges::stable_sort(due, {}, [this](const assignment &run) {
+        return state_.findJob(run.task.job)->source.priority;
+    });
+    std::size_t bytes = 0;
     for (const auto &run : due) {
+        if (bytes >= maxStartBytes)
+            break;
         const auto need = state_.findJob(run.task.job)->spec.steps[run.task.step].charged();
         if (timesFitting(available, need) == 0) {
             withholdStart(worker, run);
@@ -259,6 +274,8 @@
         if (!order)
             continue;
         available -= need;
+        bytes += orderBytes + order->payload.size() + order->checkpoint.size()
+                + order->ticket.size();
         orders.starts.push_back(std::move(*order));
         recordOrderSent({run.task, run.run});
         logEvent("task.start_sent",
--- a/packages/batch/test/capacity-test.cc
+++ b/packages/batch/test/capacity-test.cc
@@ -1,6 +1,7 @@
 #include "crash_fleet.h"
 
 #include <random>
+#include <set>
 
 using namespace persimmon;
 using namespace persimmon::batch;
@@ -95,3 +96,37 @@
         CHECK_EQUAL(0, fleet.overfullStarts());
     }
 }
+
+// Guards against an answer that outgrows what a worker takes: it dropped the answer, and the next
+// one was as large, for ever.
+TEST(Capacity, startsOfALargeJobComeInSeveralAnswers)
+{
+    constexpr std::uint32_t taskCount = 1300;
+    constexpr std::size_t maxAnswerBytes = 512 * 1024; // far below the 4 MiB that a worker takes
+    leader_fixture leader;
+    leader.configure(0);
+    auto report = leader.report("w1");
+    report.capacity = {10'000'000, 10'000'000, 8};
+    leader.sendHeartbeat(report);
+    job_spec spec;
+    spec.payload = std::string(4000, 'x');
+    spec.steps = {leader_fixture::tasks(taskCount, 0)};
+    for (const auto *path : {"/q2/large", "/q0/urgent"})
+        leader.queues.submit(leader.wallMs, {"host", path, ""}, spec, [](const status &) {});
+    std::set<task_id> started;
+    for (int i = 0; i < 60 && started.size() < 2 * taskCount; ++i) {
+        leader.advance(100);
+        auto next = report;
+        next.sequence = ++leader.sequence;
+        for (const auto &task : started)
+            next.running.push_back({task, 1, "", 1, 0});
+        std::size_t bytes = 0;
+        for (const auto &order : leader.sendHeartbeat(next).starts) {
+            bytes += order.payload.size();
+            CHECK_TRUE(order.task.job == "urgent" || started.size() >= taskCount);
+            started.insert(order.task);
+        }
+        CHECK_TRUE(bytes <= maxAnswerBytes);
+    }
+    CHECK_EQUAL(2 * taskCount, started.size());
+}
