Don't pass on a later attempt's error for a call that may have run

Change: once an attempt of a call that changes something may have arrived, only an error about the content of the request ends it; any other is retried until the deadline, and then the outcome is unknown.

--- a/packages/cluster/include/cluster/relay_client.h
+++ b/packages/cluster/include/cluster/relay_client.h
@@ -22,6 +22,9 @@
     milliseconds contactTimeout {2500}; // contact is lost after this time without a leader's answer
 };
 
+// What a request does at the leader.
+enum class call_effect : std::uint8_t { Reads, Changes };
+
 // Sends requests to the current leader of a group. Requests must be idempotent: after a lost answer
 // they are sent again until their deadline. Not thread-safe: all calls must come from the thread of
 // the event loop.
@@ -29,7 +32,9 @@
 {
 public:
     // Fails with NotReady if the request can't have reached a leader, otherwise with OutcomeUnknown
-    // or the error of the leader.
+    // or the error of the leader. An earlier attempt of a request that changes something may have
+    // been carried out, so an error of a later attempt doesn't end it unless it is about the
+    // content of the request.
     using completion = std::function<void(result<std::string>)>;
 
     relay_client(wire::event_loop &loop, relay_options options,
@@ -38,7 +43,8 @@
     relay_client(const relay_client &) = delete;
     relay_client &operator=(const relay_client &) = delete;
 
-    void call(std::string request, milliseconds deadline, completion done);
+    void call(std::string request, milliseconds deadline, completion done,
+              call_effect effect = call_effect::Reads);
 
     // Starts to locate the leader periodically, by asking the last known leader or else the known
     // nodes in turn. This also updates the list of nodes.
--- a/packages/cluster/src/relay_client.cc
+++ b/packages/cluster/src/relay_client.cc
@@ -27,6 +27,13 @@
     return duration.count() * kj::MILLISECONDS;
 }
 
+// Returns whether every attempt of a request fails with a code.
+bool isAboutContent(result_code code)
+{
+    return code == result_code::MalformedRequest || code == result_code::InvalidValue
+            || code == result_code::InvalidTable;
+}
+
 struct connection
 {
     explicit connection(kj::Own<kj::AsyncIoStream> socket)
@@ -54,6 +61,7 @@
     std::string request;
     time_point deadline {};
     relay_client::completion done;
+    call_effect effect = call_effect::Reads;
     bool mayHaveBeenSent = false; // a node may have received the request
     bool attemptInFlight = false; // an attempt was sent and has not been answered
     bool finished = false;
@@ -93,9 +101,10 @@
             addNode(id);
     }
 
-    void call(std::string request, milliseconds deadline, completion done)
+    void call(std::string request, milliseconds deadline, completion done, call_effect effect)
     {
         auto item = std::make_shared<pending_call>();
+        item->effect = effect;
         item->request = std::move(request);
         item->deadline = loop_.now() + deadline;
         item->done = std::move(done);
@@ -289,6 +298,11 @@
         }
         setLeader(id);
         lastContact_ = loop_.now();
+        if (code != result_code::Ok && item->effect == call_effect::Changes && item->mayHaveBeenSent
+            && !isAboutContent(code)) {
+            item->failure = answer.getDetail().cStr();
+            return retryLater(item);
+        }
         if (code != result_code::Ok)
             return complete(item, error {code, answer.getDetail().cStr(), {}, {}});
         const auto body = answer.getResponse();
@@ -359,9 +373,10 @@
 
 relay_client::~relay_client() = default;
 
-void relay_client::call(std::string request, milliseconds deadline, completion done)
+void relay_client::call(std::string request, milliseconds deadline, completion done,
+                        call_effect effect)
 {
-    implementation_->call(std::move(request), deadline, std::move(done));
+    implementation_->call(std::move(request), deadline, std::move(done), effect);
 }
 
 void relay_client::startLocating()
--- a/packages/cluster/test/relay-test.cc
+++ b/packages/cluster/test/relay-test.cc
@@ -72,11 +72,14 @@
         std::int64_t tookMs = 0;
     };
 
-    outcome sendRequest(relay_client & client, milliseconds deadline)
+    outcome sendRequest(relay_client & client, milliseconds deadline,
+                        call_effect effect = call_effect::Reads)
     {
         const auto started = loop.now();
         std::optional<result<std::string>> answer;
-        client.call("question", deadline, [&](const result<std::string> &done) { answer = done; });
+        client.call(
+                "question", deadline, [&](const result<std::string> &done) { answer = done; },
+                effect);
         while (!answer)
             pause();
         const auto took = std::chrono::duration_cast<milliseconds>(loop.now() - started);
@@ -143,3 +146,25 @@
                == result_code::NoRoute);
     CHECK_EQUAL(1, calls);
 }
+
+// Guards against the error of a later attempt that is passed on although an earlier attempt, whose
+// answer was lost, may have been carried out: a job that was refused so was run.
+TEST(Relay, laterErrorDoesNotHideAnEarlierAttempt)
+{
+    startNode();
+    int calls = 0;
+    auto code = result_code::UnknownWorkspace;
+    node->onRelay([&](const std::string &, const relay_client::completion &done) {
+        if (++calls > 1)
+            done(error {code, "refused", {}, {}});
+    });
+    const std::vector<consensus::voter_id> seeds {*idOf(nodeIp)};
+    relay_client client(loop, testOptions(), seeds);
+    auto reply = sendRequest(client, milliseconds {2000}, call_effect::Changes);
+    CHECK_TRUE(errorOf(reply.answer).code == result_code::OutcomeUnknown);
+    CHECK_TRUE(calls > 1 && reply.tookMs >= 1900);
+    calls = 0;
+    code = result_code::InvalidValue; // no attempt can have been carried out
+    reply = sendRequest(client, milliseconds {2000}, call_effect::Changes);
+    CHECK_TRUE(errorOf(reply.answer).code == result_code::InvalidValue);
+}
