Try preemption for all waiting urgent work in turn

Eight urgent units that nothing can place, such as gangs with a label that no worker has, used up all attempts for ever, and urgent work behind them never stopped any other.

Change: a unit for which preemption has failed is passed over until all others were tried.

--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -109,6 +109,7 @@
         std::map<task_id, claim> claims;
         std::map<std::string, urgent_reserve> reserves; // by pool
         std::map<task_id, time_point> waiting; // units without a place, and since when
+        std::set<task_id> failedPreemptions; // units to be tried after all others
     };
 
     class pass;
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -111,6 +111,8 @@
     for (auto &item : detail::collectUnits(input_, uses_))
         scheduleUnit(item);
     memory_.waiting = std::move(waiting_);
+    if (!preemptionDeferred_)
+        memory_.failedPreemptions.clear();
     return std::move(output_);
 }
 
@@ -152,19 +154,31 @@
     recordUnplaceable(item);
     if (item.pastFinalDeadline && !item.guaranteed)
         return;
-    if (item.job->source.priority == 0 && preemptions_ < maxPreemptions
-        && input_.wallMs >= item.preemptFromMs) {
+    if (mayTryPreemption(item)) {
         ++preemptions_;
         if (preempt(item)) {
             applyClaim(claims_.at(item.first), 1);
             output_.waits.back().cause = wait_cause::Preempting;
             return;
         }
+        memory_.failedPreemptions.insert(item.first);
     }
     if (item.placedTogether())
         reserveRack(item);
 }
 
+// Units for which preemption has failed are passed over until all others were tried.
+bool scheduler::pass::mayTryPreemption(const unit &item)
+{
+    if (item.job->source.priority != 0 || input_.wallMs < item.preemptFromMs
+        || memory_.failedPreemptions.contains(item.first))
+        return false;
+    if (preemptions_ < maxPreemptions)
+        return true;
+    preemptionDeferred_ = true;
+    return false;
+}
+
 void scheduler::pass::countWaiting(const unit &item)
 {
     const auto earlier = memory_.waiting.find(item.first);
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -83,6 +83,7 @@
 
     // scheduler-pass.cc
     void scheduleUnit(unit &item);
+    bool mayTryPreemption(const unit &item);
     void countWaiting(const unit &item);
     std::vector<slot> place(const unit &item) const;
     std::vector<slot> placeInRack(const unit &item, bool &possible) const;
@@ -167,6 +168,7 @@
     std::vector<std::size_t> byVictimCost_; // workers, the cheapest to vacate first
     bool victimsReady_ = false;
     std::size_t preemptions_ = 0;
+    bool preemptionDeferred_ = false; // a unit was not tried because of the limit
     schedule_output output_;
 };
 
--- a/packages/batch/test/progress-test.cc
+++ b/packages/batch/test/progress-test.cc
@@ -9,6 +9,7 @@
 TEST_GROUP(Progress)
 {
     leader_fixture leader;
+    std::size_t stops = 0; // orders to stop a run, in all answers
 
     static step_spec gangOf(std::uint32_t count, const std::string &label = {})
     {
@@ -29,7 +30,7 @@
             report.labels = {kind, rack};
             for (const auto &[task, run] : leader.state.runsOn(report.id))
                 report.running.push_back({task, run.run, "", ++percent_ % 100, 0});
-            leader.sendHeartbeat(report);
+            stops += leader.sendHeartbeat(report).stops.size();
         }
     }
 
@@ -290,3 +291,23 @@
     advance(2000, sendAll);
     CHECK_EQUAL(2, leader.state.findJob("a")->taskOf(task).run);
 }
+
+// Guards against urgent units that can't be placed and use up the attempts at preemption in each
+// pass.
+TEST(Progress, unplaceableUnitsDoNotUseUpPreemption)
+{
+    const auto sendAll = [this] { sendHeartbeats("a", 4); };
+    leader.tenants = {{"t", {"key"}, 1000}};
+    leader.configure(0);
+    sendAll();
+    auto busy = leader_fixture::tasks(4, 8);
+    busy.estimateMs = 100'000'000;
+    leader.submit("/q2/busy", busy);
+    advance(300, sendAll);
+    CHECK_EQUAL(4, activeTasks("busy"));
+    for (int i = 0; i < 12; ++i)
+        leader.submit("/q0/unplaceable" + std::to_string(i), gangOf(2, "b"), "key");
+    leader.submit("/q0/urgent", leader_fixture::pressingTasks(1, 8), "key");
+    advance(3000, sendAll);
+    CHECK_TRUE(stops > 0);
+}
