--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -14,10 +14,13 @@
 // Completing an occurrence has no value once this many times its objective has passed.
 constexpr std::int64_t finalDeadlineObjectives = 3;
 
-// A suspect that finds no worker without other suspects, or none of its own, for this time is
-// started beside others.
+// A suspect that finds no worker of its own, or if it is long-running none without other suspects,
+// for this time is started beside others.
 constexpr std::int64_t isolationWaitMs = 2000;
 
+// The same for a suspect that isn't long-running and finds no worker without other suspects.
+constexpr std::int64_t separationWaitMs = 10'000;
+
 // Suspects of every second job wait for this time. It is longer than the times between losses that
 // are taken for one, so that jobs that crash workers are told from a common cause.
 constexpr std::int64_t startApartMs = 2500;
@@ -70,8 +73,10 @@
         return;
     const auto wallMs = all.input.wallMs;
     item.suspected = true;
-    item.keptApart |= isWithin(found->second, isolationWaitMs, wallMs);
-    item.isolated |= item.keptApart && found->second.counted() >= isolationLosses;
+    item.keptApart |= isWithin(found->second,
+                               item.spec->longRunning ? isolationWaitMs : separationWaitMs, wallMs);
+    item.isolated |= found->second.counted() >= isolationLosses
+            && isWithin(found->second, isolationWaitMs, wallMs);
     item.startsLater
             |= all.startLater.contains(task.job) && isWithin(found->second, startApartMs, wallMs);
 }
