Name stalled jobs, and what keeps each from a worker

The record of the incident names no stalled job: step.waiting is written once with no_room for every cause, and its lines are cut at 40 a second. The leader now looks for jobs of which nothing runs although a task could (stall_watch), counts the stall from when a run was last listed, and writes job.stalled for each after 2 s and again each 2 s, at most three in a pass. The cause is found by waiving one preference of placement after the other until the job finds a worker, so kept room, bans, suspicion, quarantine and one rack are told apart; a run that no worker lists and an outstanding commit are named too. Gauges: stalled_jobs, longest_stall_seconds.

Workers in quarantine are marked as such instead of as not schedulable; placement is unchanged.

--- a/packages/apps/include/apps/batch_metrics.h
+++ b/packages/apps/include/apps/batch_metrics.h
@@ -18,6 +18,8 @@
     std::uint64_t configurationVersion = 0;
     std::size_t workers = 0;
     std::size_t jobs = 0;
+    std::size_t stalledJobs = 0; // nothing of them runs although a task could start
+    double longestStallSeconds = 0;
 };
 
 // Metrics of the scheduler and gateway roles in the Prometheus text format. Job histograms are
--- a/packages/apps/src/batch_metrics.cc
+++ b/packages/apps/src/batch_metrics.cc
@@ -89,6 +89,8 @@
         setGauge("configuration_version", static_cast<double>(gauges.configurationVersion));
         setGauge("workers", static_cast<double>(gauges.workers));
         setGauge("jobs", static_cast<double>(gauges.jobs));
+        setGauge("stalled_jobs", static_cast<double>(gauges.stalledJobs));
+        setGauge("longest_stall_seconds", gauges.longestStallSeconds);
         return prometheus::TextSerializer {}.Serialize(registry_.Collect());
     }
 
@@ -130,7 +132,7 @@
     prometheus::Family<prometheus::Gauge> &schedulerState_
             = familyOf(registry_, prometheus::BuildGauge(), "persimmon_scheduler_state",
                        "Leadership (1: leads), term, committed entries, version of the "
-                       "configuration, known workers and jobs");
+                       "configuration, known workers and jobs, stalled jobs and the longest stall");
 };
 
 batch_metrics::batch_metrics()
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -7,6 +7,7 @@
 #include "batch/loss_attribution.h"
 #include "batch/pacer.h"
 #include "batch/scheduler.h"
+#include "batch/stall_watch.h"
 #include "batch/worker.h"
 
 #include <deque>
@@ -129,6 +130,9 @@
 
     std::size_t workerCount() const { return workers_.size(); }
 
+    // Stalled jobs, as of the last tick.
+    const stall_watch &stalls() const { return stalls_; }
+
 private:
     struct tracked_run
     {
@@ -248,6 +252,9 @@
     void schedule(time_point now, std::int64_t wallMs);
     void proposeStarts(std::vector<assignment> runs, time_point now, std::int64_t wallMs);
     void logWaits(const std::vector<unit_wait> &waits, std::int64_t wallMs);
+    std::optional<time_point> lastHeard(const assignment &run) const;
+    void logStalls(const std::vector<stalled_job> &stalls, const std::vector<stall_cause> &causes,
+                   time_point now) const;
     void requestMissingAdvice(time_point now, std::vector<advice_request> wants);
     void sendAdviceRequest(time_point now, const step_key &step,
                            const std::vector<worker_incarnation> &asked, milliseconds valid);
@@ -260,6 +267,7 @@
     controller_options options_;
     propose_function propose_;
     scheduler scheduler_;
+    stall_watch stalls_;
     loss_attribution attribution_;
     std::uint64_t term_ = 0; // 0: not leading
     time_point termStart_ {};
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -27,6 +27,7 @@
     bool trusted = true; // false: gets no task on its last attempt
     bool proven = false; // a run has succeeded there a moment ago and none has failed since
     bool schedulable = true; // false: gets no new tasks
+    bool quarantined = false; // gets new tasks only if nothing else is left for them
 };
 
 // Progress of a run, as last reported by its worker.
@@ -49,6 +50,7 @@
     time_point now {};
     std::int64_t wallMs = 0;
     std::int64_t checkpointMs = 1000; // work between two checkpoints
+    std::set<std::string> explain; // jobs for whose waits the cause is wanted
 };
 
 // Why tasks that are ready to start have no worker.
@@ -57,6 +59,12 @@
     Preempting, // waits for preempted runs to stop
     NoAdvice, // the advice service has not allowed a worker yet
     Suspected, // may have crashed its worker and is started apart from other suspects
+    KeptRoom, // the room that is left is kept for urgent work or for gangs
+    FailedThere, // room is left only where it has failed, or on its last attempt others have
+    KeptApart, // room is left only beside tasks that may crash their workers
+    Quarantined, // room is left only on workers in quarantine
+    OneRack, // room is left only in several racks
+    Skipped, // there is room, but the unit was passed over for one with a smaller need
 };
 
 std::string_view toName(wait_cause cause);
@@ -74,6 +82,15 @@
     std::vector<std::string> workers;
 };
 
+// Why a stalled job has no worker.
+struct stall_cause
+{
+    task_id first;
+    wait_cause cause = wait_cause::NoRoom;
+    std::int64_t room = 0; // tasks of this size that fit beside all that runs
+    std::int64_t inUsePercent = 0; // of the pool, by the resource that is used most
+};
+
 struct schedule_output
 {
     std::vector<assignment> starts;
@@ -82,6 +99,7 @@
     std::size_t urgentWaiting = 0; // of them, units of priority 0
     std::vector<unit_wait> waits;
     std::vector<advice_request> advice;
+    std::vector<stall_cause> stallCauses; // of the jobs that were asked for
 };
 
 // Decides which tasks start on which workers and which runs are preempted for them. The decisions
--- /dev/null
+++ b/packages/batch/include/batch/stall_watch.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/clock.h"
+#include "batch/ledger.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+// Stalled jobs: nothing of them runs although one of their tasks could start.
+namespace persimmon::batch {
+
+struct stalled_job
+{
+    task_id task; // the first task that could run
+    time_point since {}; // when a run of the job was last heard of, or when the task became ready
+    std::optional<assignment> unheard; // its run in the ledger, which no worker has listed lately
+};
+
+// Finds the stalled jobs of a leader. A run counts as working while its worker lists it.
+class stall_watch
+{
+public:
+    // Returns when a worker last listed a run, or nothing if it never did.
+    using heard_function = std::function<std::optional<time_point>(const assignment &)>;
+
+    // Looks at all open jobs. Must be called before each scheduling pass.
+    void update(const ledger &state, const heard_function &lastHeard, time_point now,
+                std::int64_t wallMs);
+
+    // Returns for how long a job has been stalled; zero if it isn't.
+    std::chrono::microseconds stalledFor(const std::string &job, time_point now) const;
+
+    // Returns the jobs whose stall has to be logged now, and again after the same time.
+    std::vector<stalled_job> takeDueReports(time_point now);
+
+    std::size_t size() const { return jobs_.size(); }
+
+    // Returns the length of the longest stall, or zero.
+    std::chrono::microseconds longest(time_point now) const;
+
+    void clear() { jobs_.clear(); }
+
+private:
+    struct entry
+    {
+        stalled_job job;
+        time_point nextReport {};
+    };
+
+    std::map<std::string, entry> jobs_;
+};
+
+} // namespace persimmon::batch
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -1,10 +1,13 @@
 #include "base/event_log.h"
 #include "batch/controller.h"
+#include "controller-detail.h"
 
 #include <algorithm>
 
 namespace persimmon::batch {
 
+using detail::millisecondsOf;
+
 namespace {
 
 // Interval between scheduling passes, unless one is requested earlier.
@@ -227,14 +230,14 @@
                 : static_cast<int>(std::min<std::size_t>(2, worker.failedJobs.size()));
         view.trusted = worker.failedJobs.empty() && !isQuarantined;
         view.proven = view.trusted && worker.lastDone && *worker.lastDone + provenTime > now;
-        view.schedulable = isSchedulable(worker, now) && !isQuarantined;
+        view.schedulable = isSchedulable(worker, now);
+        view.quarantined = isQuarantined;
     }
     // If more than half of the workers are in quarantine, the cause is unlikely to be the workers,
     // so quarantine is ignored.
     if (quarantinedCount * 2 > views.size()) {
         for (auto &view : views) {
-            const auto &worker = workers_.at(view.report->id);
-            view.schedulable = isSchedulable(worker, now);
+            view.quarantined = false;
             view.trusted = true;
         }
     }
@@ -252,11 +255,53 @@
     return run_progress {tracked->second.started, tracked->second.percent};
 }
 
+// Returns when a worker last listed a run in this term.
+std::optional<time_point> controller::lastHeard(const assignment &run) const
+{
+    const auto worker = workers_.find(run.worker);
+    if (worker == workers_.end() || !progressOf(run))
+        return std::nullopt;
+    return worker->second.lastHeartbeat;
+}
+
+// Logs the jobs of which nothing runs, and why.
+void controller::logStalls(const std::vector<stalled_job> &stalls,
+                           const std::vector<stall_cause> &causes, time_point now) const
+{
+    for (const auto &item : stalls) {
+        const auto &job = *state_.findJob(item.task.job);
+        const auto cause = std::ranges::find(causes, job.id, [](const stall_cause &found) {
+            return std::string_view(found.first.job);
+        });
+        std::string_view why = item.unheard ? "run_not_listed" : "not_tried";
+        if (cause != causes.end())
+            why = toName(cause->cause);
+        else if (committing_ || commitOutcomeUnknown_)
+            why = "commit_outstanding";
+        logEvent("job.stalled",
+                 {{"job", job.id},
+                  {"task", shortName(item.task)},
+                  {"tenant", job.tenant},
+                  {"priority", job.source.priority},
+                  {"stalled_ms", millisecondsOf(now - item.since)},
+                  {"why", why},
+                  {"runs", job.taskOf(item.task).run},
+                  {"worker", item.unheard ? item.unheard->worker : ""},
+                  {"room", cause != causes.end() ? cause->room : 0},
+                  {"in_use_percent", cause != causes.end() ? cause->inUsePercent : 0},
+                  {"stalled_jobs", stalls_.size()}});
+    }
+}
+
 void controller::schedule(time_point now, std::int64_t wallMs)
 {
+    stalls_.update(
+            state_, [this](const assignment &run) { return lastHeard(run); }, now, wallMs);
+    const auto stalls = stalls_.takeDueReports(now);
     if (committing_)
-        return;
+        return logStalls(stalls, {}, now);
     if (commitOutcomeUnknown_) {
+        logStalls(stalls, {}, now);
         committing_ = true;
         propose_(no_op {}, [this, alive = std::weak_ptr<int>(alive_)](const status &done) {
             if (alive.expired())
@@ -276,10 +321,13 @@
     input.now = now;
     input.wallMs = wallMs;
     input.checkpointMs = options_.checkpointPeriod.count();
+    for (const auto &item : stalls)
+        input.explain.insert(item.task.job);
     auto output = scheduler_.plan(input);
     hasWaitingUnits_ = output.waiting > 0;
     hasWaitingUrgentUnits_ = output.urgentWaiting > 0;
     logWaits(output.waits, wallMs);
+    logStalls(stalls, output.stallCauses, now);
     requestMissingAdvice(now, std::move(output.advice));
     for (const auto &run : output.preemptions) {
         requestStop(run.task, run.run, run.worker);
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -67,6 +67,7 @@
     sentOrders_.clear();
     loggedWaits_.clear();
     scheduler_.reset();
+    stalls_.clear();
     attribution_.reset();
     advice_ = {};
     missingTickets_.clear();
--- a/packages/batch/src/isolation.cc
+++ b/packages/batch/src/isolation.cc
@@ -56,6 +56,8 @@
 // Long-running work must not wait for long, so it isn't kept off isolated workers.
 bool scheduler::pass::mayShare(const unit &item, std::size_t worker) const
 {
+    if (item.waived.isolation)
+        return true;
     const auto &job = item.job->id;
     const auto there = suspectsOn_.find(worker);
     const bool isolatedThere
--- a/packages/batch/src/reserve.cc
+++ b/packages/batch/src/reserve.cc
@@ -45,7 +45,8 @@
 bool scheduler::pass::isIdle(std::size_t worker) const
 {
     const auto accelerators = reportOf(worker).capacity.accelerators;
-    return input_.workers[worker].schedulable && accelerators > 0
+    const auto &view = input_.workers[worker];
+    return view.schedulable && !view.quarantined && accelerators > 0
             && available_[worker].accelerators == accelerators;
 }
 
@@ -65,6 +66,8 @@
 // must not wait for long in any pool.
 scheduler::pass::reserve_access scheduler::pass::accessOf(const unit &item) const
 {
+    if (item.waived.reserves)
+        return {true, true};
     const auto pool = pools_.find(item.job->source.pool);
     const bool shared
             = item.spec->longRunning || pool == pools_.end() || !pool->second.mostlyInUse();
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -121,6 +121,7 @@
     if (item.startsLater) {
         countWaiting(item);
         output_.waits.push_back({item.first, wait_cause::Suspected});
+        explain(item, wait_cause::Suspected);
         return;
     }
     const auto claimed = claims_.find(item.first);
@@ -129,7 +130,7 @@
         applyClaim(claimed->second, -1);
     auto slots = !waiting && isDominated(item) ? std::vector<slot> {} : place(item);
     if (slots.empty() && mayIgnoreFailures(item)) {
-        item.ignoresFailures = true;
+        item.waived.failures = true;
         slots = place(item);
     }
     if (!slots.empty()) {
@@ -145,6 +146,7 @@
     }
     countWaiting(item);
     output_.waits.push_back({item.first, waiting ? wait_cause::Preempting : wait_cause::NoRoom});
+    explain(item, output_.waits.back().cause);
     if (waiting) {
         applyClaim(claims_.at(item.first), 1);
         return;
@@ -215,7 +217,9 @@
     const auto &report = *view.report;
     if (!view.schedulable || report.pool != item.job->source.pool)
         return false;
-    if (!item.ignoresFailures && isBanned(item, worker))
+    if (view.quarantined && !item.waived.quarantine)
+        return false;
+    if (!item.waived.failures && isBanned(item, worker))
         return false;
     if (!mayShare(item, worker))
         return false;
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -113,6 +113,11 @@
         return *input_.workers[worker].report;
     }
 
+    // stall_cause.cc
+    void explain(const unit &item, wait_cause cause);
+    wait_cause causeOf(const unit &item) const;
+    std::int64_t roomFor(const unit &item) const;
+
     // reserve.cc
     void collectPools();
     bool isIdle(std::size_t worker) const;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -2,6 +2,8 @@
 
 #include "scheduler-pass.h"
 
+#include <array>
+
 namespace persimmon::batch {
 
 namespace {
@@ -13,17 +15,10 @@
 
 std::string_view toName(wait_cause cause)
 {
-    switch (cause) {
-    case wait_cause::NoRoom:
-        return "no_room";
-    case wait_cause::Preempting:
-        return "preempting";
-    case wait_cause::NoAdvice:
-        return "no_advice";
-    case wait_cause::Suspected:
-        return "suspected";
-    }
-    return "unknown";
+    static constexpr std::array<std::string_view, 10> names {
+            "no_room",      "preempting", "no_advice",   "suspected", "kept_room",
+            "failed_there", "kept_apart", "quarantined", "one_rack",  "skipped"};
+    return names.at(static_cast<std::size_t>(cause));
 }
 
 void scheduler::dropClaims(const schedule_input &input)
--- /dev/null
+++ b/packages/batch/src/stall_watch.cc
@@ -0,0 +1,127 @@
+#include "batch/stall_watch.h"
+
+#include "units.h"
+
+#include <algorithm>
+
+namespace persimmon::batch {
+
+namespace {
+
+// A stall of this time is logged, and again after each such time. Work should start in 3 s.
+constexpr milliseconds reportPeriod {2000};
+
+// Stalls logged in one pass, so that the lines of a second stay within the limit of an event.
+constexpr std::size_t maxReports = 3;
+
+// A run that its worker hasn't listed for this time doesn't count as working. Longer than the time
+// between two heartbeats.
+constexpr milliseconds heardLimit {2500};
+
+// What is known of the tasks of a job.
+struct job_survey
+{
+    bool working = false;
+    std::optional<task_id> ready; // the first task that waits for a start
+    std::optional<assignment> unheard; // the first run that no worker lists
+    time_point lastHeard {}; // of the runs that no worker lists any more
+};
+
+void surveyRun(const assignment &run, const stall_watch::heard_function &lastHeard, time_point now,
+               job_survey &survey)
+{
+    const auto heard = lastHeard(run);
+    if (heard && now - *heard < heardLimit) {
+        survey.working = true;
+        return;
+    }
+    if (!survey.unheard)
+        survey.unheard = run;
+    survey.lastHeard = std::max(survey.lastHeard, heard.value_or(time_point {}));
+}
+
+void surveyStep(const task_id &first, const step_state &step,
+                const stall_watch::heard_function &lastHeard, time_point now, job_survey &survey)
+{
+    for (std::uint32_t i = 0; i < step.tasks.size() && !survey.working; ++i) {
+        const auto &task = step.tasks[i];
+        if (task.done)
+            continue;
+        auto id = first;
+        id.index = i;
+        if (task.active)
+            surveyRun({id, task.run, task.worker, task.incarnation}, lastHeard, now, survey);
+        else if (!survey.ready)
+            survey.ready = id;
+    }
+}
+
+job_survey surveyOf(const job_record &job, const stall_watch::heard_function &lastHeard,
+                    time_point now, std::int64_t wallMs)
+{
+    job_survey survey;
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        if (detail::scheduledMs(job, occurrence) > wallMs)
+            break;
+        for (std::uint32_t step = 0; step < job.spec.steps.size() && !survey.working; ++step) {
+            if (detail::isReady(job, occurrence, job.spec.steps[step]))
+                surveyStep({job.id, occurrence, step, 0}, job.occurrences[occurrence][step],
+                           lastHeard, now, survey);
+        }
+    }
+    return survey;
+}
+
+} // namespace
+
+void stall_watch::update(const ledger &state, const heard_function &lastHeard, time_point now,
+                         std::int64_t wallMs)
+{
+    std::map<std::string, entry> stalled;
+    state.forEachOpenJob([&](const job_record &job) {
+        if (job.ended())
+            return;
+        const auto survey = surveyOf(job, lastHeard, now, wallMs);
+        if (survey.working || (!survey.ready && !survey.unheard))
+            return;
+        const auto known = jobs_.find(job.id);
+        auto &item = stalled[job.id];
+        if (known != jobs_.end())
+            item = known->second;
+        else
+            item.job.since = survey.lastHeard == time_point {} ? now : survey.lastHeard;
+        item.job.task = survey.ready ? *survey.ready : survey.unheard->task;
+        item.job.unheard = survey.unheard;
+    });
+    jobs_ = std::move(stalled);
+}
+
+std::chrono::microseconds stall_watch::stalledFor(const std::string &job, time_point now) const
+{
+    const auto found = jobs_.find(job);
+    return found == jobs_.end() ? std::chrono::microseconds {0} : now - found->second.job.since;
+}
+
+std::vector<stalled_job> stall_watch::takeDueReports(time_point now)
+{
+    std::vector<stalled_job> due;
+    for (auto &[id, item] : jobs_) {
+        if (due.size() == maxReports)
+            break;
+        if (now - item.job.since < reportPeriod || now < item.nextReport)
+            continue;
+        item.nextReport = now + reportPeriod;
+        due.push_back(item.job);
+    }
+    return due;
+}
+
+std::chrono::microseconds stall_watch::longest(time_point now) const
+{
+    std::chrono::microseconds found {0};
+    for (const auto &[id, item] : jobs_)
+        found = std::max<std::chrono::microseconds>(found, now - item.job.since);
+    return found;
+}
+
+} // namespace persimmon::batch
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -25,13 +25,6 @@
 // are taken for one, so that jobs that crash workers are told from a common cause.
 constexpr std::int64_t startApartMs = 2500;
 
-bool isReady(const job_record &job, std::uint32_t occurrence, const step_spec &spec)
-{
-    return std::ranges::all_of(spec.dependsOn, [&](std::uint32_t dependency) {
-        return job.occurrences[occurrence][dependency].done();
-    });
-}
-
 // Returns whether less than a limit has passed since the newest loss. The clock may have been set
 // back since then.
 bool isWithin(const loss_record &record, std::int64_t limitMs, std::int64_t wallMs)
@@ -193,11 +186,21 @@
 
 } // namespace
 
+bool isReady(const job_record &job, std::uint32_t occurrence, const step_spec &spec)
+{
+    return std::ranges::all_of(spec.dependsOn, [&](std::uint32_t dependency) {
+        return job.occurrences[occurrence][dependency].done();
+    });
+}
+
+std::int64_t scheduledMs(const job_record &job, std::uint32_t occurrence)
+{
+    return job.spec.firstDueMs + static_cast<std::int64_t>(occurrence) * job.spec.intervalMs;
+}
+
 std::int64_t dueMs(const job_record &job, std::uint32_t occurrence)
 {
-    return std::max(job.acceptedMs,
-                    job.spec.firstDueMs
-                            + static_cast<std::int64_t>(occurrence) * job.spec.intervalMs);
+    return std::max(job.acceptedMs, scheduledMs(job, occurrence));
 }
 
 std::int64_t finalDeadlineMs(const job_record &job, std::uint32_t occurrence)
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -8,6 +8,16 @@
 
 namespace persimmon::batch::detail {
 
+// Preferences that a unit doesn't heed when it looks for workers.
+struct waivers
+{
+    bool reserves = false; // workers that are kept for urgent work or for gangs
+    bool failures = false; // workers on which it has failed, on its last attempt all untrusted ones
+    bool isolation = false; // workers with other suspects, or that have to run nothing else
+    bool quarantine = false; // workers in quarantine
+    bool oneRack = false; // a gang that wants one rack may be spread
+};
+
 // Tasks of one step that are scheduled together: either a gang, which is placed as a whole, or
 // independent tasks, of which as many are placed as fit.
 struct unit
@@ -25,13 +35,13 @@
     bool suspected = false; // a worker was lost under one of its tasks
     bool keptApart = false; // takes no worker with a suspect of another job
     bool isolated = false; // takes only workers that run nothing of other jobs
-    bool ignoresFailures = false; // may use avoided workers, and any worker on its last attempt
+    waivers waived;
     bool startsLater = false; // waits, so that it doesn't start together with other suspects
 
     // Returns whether a task of the unit has failed before.
     bool retried() const { return !avoidedWorkers.empty(); }
     bool placedTogether() const { return spec->gang && indexes.size() > 1; }
-    bool inOneRack() const { return placedTogether() && spec->sameRack; }
+    bool inOneRack() const { return placedTogether() && spec->sameRack && !waived.oneRack; }
     // Returns whether the choice of workers depends only on their pool and resources.
     bool isUnconstrained() const
     {
@@ -49,6 +59,12 @@
 // cause.
 constexpr std::uint32_t isolationLosses = 2;
 
+// Returns whether all steps that a step depends on are done.
+bool isReady(const job_record &job, std::uint32_t occurrence, const step_spec &spec);
+
+// Returns the time that the job names for an occurrence, in Unix milliseconds; 0 if it names none.
+std::int64_t scheduledMs(const job_record &job, std::uint32_t occurrence);
+
 // Returns when an occurrence of a job may start, in Unix milliseconds.
 std::int64_t dueMs(const job_record &job, std::uint32_t occurrence);
 
