--- a/packages/batch/test/crash_fleet.h
+++ b/packages/batch/test/crash_fleet.h
@@ -86,6 +86,15 @@
         leader.workers.beginTerm(++term_, leader.now);
     }
 
+    // Lets time pass without a leader: no heartbeat is answered. Leases go on.
+    void pauseLeader(std::int64_t ms)
+    {
+        for (; ms > 0; ms -= stepMs) {
+            leader.now += milliseconds {stepMs};
+            leader.wallMs += stepMs;
+        }
+    }
+
     int startsOf(const task_id &task) const
     {
         const auto found = starts_.find(task);
