Open what is kept to a job of which nothing runs

Class: a preference without a bound.

A job that has been stalled for 2 s (6.3 s after the loss of its worker) now starts one task, or its gang, wherever it fits. One task for each job leaves the rest of what is kept alone.

--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "batch/advice.h"
 #include "batch/ledger.h"
+#include "batch/stall_watch.h"
 #include "batch/urgent_reserve.h"
 #include "batch/worker.h"
 
@@ -45,6 +46,7 @@
     const ledger *state = nullptr;
     std::vector<worker_view> workers; // ordered by id
     progress_function progress;
+    const stall_watch *stalls = nullptr; // stalled jobs; nullptr: none are known
     const std::set<std::pair<task_id, std::uint32_t>> *stopping = nullptr; // runs being stopped
     const advice_cache *advice = nullptr;
     time_point now {};
--- a/packages/batch/include/batch/stall_watch.h
+++ b/packages/batch/include/batch/stall_watch.h
@@ -16,6 +16,7 @@
 {
     task_id task; // the first task that could run
     time_point since {}; // when a run of the job was last heard of, or when the task became ready
+    bool afterLoss = false; // a run was lost with its worker
     std::optional<assignment> unheard; // its run in the ledger, which no worker has listed lately
 };
 
@@ -33,6 +34,12 @@
     // Returns for how long a job has been stalled; zero if it isn't.
     std::chrono::microseconds stalledFor(const std::string &job, time_point now) const;
 
+    // Returns whether a job has been stalled for so long that no preference may keep it from room.
+    bool isOverdue(const std::string &job, time_point now) const;
+
+    // Returns whether the stall of a job began with the loss of a worker.
+    bool isAfterLoss(const std::string &job) const;
+
     // Returns the jobs whose stall has to be logged now, and again after the same time.
     std::vector<stalled_job> takeDueReports(time_point now);
 
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -297,7 +297,7 @@
 {
     stalls_.update(
             state_, [this](const assignment &run) { return lastHeard(run); }, now, wallMs);
-    const auto stalls = stalls_.takeDueReports(now);
+    auto stalls = stalls_.takeDueReports(now);
     if (committing_)
         return logStalls(stalls, {}, now);
     if (commitOutcomeUnknown_) {
@@ -316,6 +316,7 @@
     input.state = &state_;
     input.workers = viewWorkers(now);
     input.progress = [this](const assignment &run) { return progressOf(run); };
+    input.stalls = &stalls_;
     input.stopping = &stopping_;
     input.advice = &advice_;
     input.now = now;
@@ -327,6 +328,11 @@
     hasWaitingUnits_ = output.waiting > 0;
     hasWaitingUrgentUnits_ = output.urgentWaiting > 0;
     logWaits(output.waits, wallMs);
+    std::erase_if(stalls, [&output](const stalled_job &item) {
+        return std::ranges::any_of(output.starts, [&item](const assignment &run) {
+            return run.task.job == item.task.job;
+        });
+    });
     logStalls(stalls, output.stallCauses, now);
     requestMissingAdvice(now, std::move(output.advice));
     for (const auto &run : output.preemptions) {
--- a/packages/batch/src/reserve.cc
+++ b/packages/batch/src/reserve.cc
@@ -64,15 +64,16 @@
 
 // Work must not wait for long beside free workers of a pool that is mostly idle. Long-running work
 // must not wait for long in any pool.
-scheduler::pass::reserve_access scheduler::pass::accessOf(const unit &item) const
+scheduler::pass::worker_access scheduler::pass::accessOf(const unit &item) const
 {
     if (item.waived.reserves)
-        return {true, true};
+        return {true, true, item.waived.quarantine};
     const auto pool = pools_.find(item.job->source.pool);
     const bool shared
             = item.spec->longRunning || pool == pools_.end() || !pool->second.mostlyInUse();
     const bool waited = input_.wallMs >= item.job->acceptedMs + reserveAfterMs;
-    return {item.job->source.priority == 0 || (shared && waited), shared && waited};
+    return {item.job->source.priority == 0 || (shared && waited), shared && waited,
+            item.waived.quarantine};
 }
 
 // Workers that are kept are used last, where they may be used.
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -133,6 +133,8 @@
         item.waived.failures = true;
         slots = place(item);
     }
+    if (slots.empty() && mustStart(item))
+        slots = placeStalled(item);
     if (!slots.empty()) {
         start(item, slots);
         if (waiting)
@@ -424,6 +426,7 @@
         if (takesWholeWorker(item, place.worker))
             ++wholeWorkers;
         startedJobs_[place.worker].insert(item.job->id);
+        resumedJobs_.insert(item.job->id);
         if (item.suspected) {
             auto &there = suspectsOn_[place.worker];
             there.jobs.insert(item.job->id);
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -43,15 +43,17 @@
         std::vector<std::size_t> victims;
     };
 
-    // Which of the workers that are kept for other units a unit may use.
-    struct reserve_access
+    // Which of the workers that are held back a unit may use.
+    struct worker_access
     {
         bool idleWorkers = false; // kept for urgent work
         bool reservedRacks = false; // kept for gangs
+        bool quarantined = false;
 
-        bool covers(const reserve_access &other) const
+        bool covers(const worker_access &other) const
         {
-            return idleWorkers >= other.idleWorkers && reservedRacks >= other.reservedRacks;
+            return idleWorkers >= other.idleWorkers && reservedRacks >= other.reservedRacks
+                    && quarantined >= other.quarantined;
         }
     };
 
@@ -63,7 +65,7 @@
         amount need;
         std::size_t count = 0;
         bool inOneRack = false;
-        reserve_access access;
+        worker_access access;
     };
 
     struct pool_use
@@ -113,7 +115,9 @@
         return *input_.workers[worker].report;
     }
 
-    // stall_cause.cc
+    // stalls.cc
+    bool mustStart(const unit &item) const;
+    std::vector<slot> placeStalled(const unit &item);
     void explain(const unit &item, wait_cause cause);
     wait_cause causeOf(const unit &item) const;
     std::int64_t roomFor(const unit &item) const;
@@ -123,7 +127,7 @@
     bool isIdle(std::size_t worker) const;
     void countIdle(std::size_t worker, int change);
     bool takesWholeWorker(const unit &item, std::size_t worker) const;
-    reserve_access accessOf(const unit &item) const;
+    worker_access accessOf(const unit &item) const;
     bool isKeptForOthers(std::size_t worker) const;
     void keepReserve(const unit &item, std::vector<std::size_t> &from) const;
     std::int64_t tasksInEmpty(const unit &item, const std::vector<std::size_t> &workers) const;
@@ -160,6 +164,7 @@
 
     std::map<std::size_t, suspects> suspectsOn_; // by worker
     std::map<std::size_t, std::set<std::string_view>> startedJobs_; // by worker: in this pass
+    std::set<std::string_view> resumedJobs_; // of which a task has started in this pass
     std::unordered_map<std::string_view, std::size_t> workerIndexes_;
     std::map<std::string_view, std::vector<std::size_t>> racks_;
     std::vector<std::size_t> allWorkers_;
--- a/packages/batch/src/stall_watch.cc
+++ b/packages/batch/src/stall_watch.cc
@@ -8,6 +8,15 @@
 
 namespace {
 
+// Work starts within 3 s beside room that it may use, and within 7 s after a disturbance such as
+// the loss of its worker. The rest of that time is for a pass, the commit of the start and the way
+// of the order.
+constexpr milliseconds maxStall {2000};
+constexpr milliseconds maxStallAfterLoss {6300};
+
+// A run that this leader never heard of was lost while there was no leader, for about this time.
+constexpr milliseconds electionTime {1000};
+
 // A stall of this time is logged, and again after each such time. Work should start in 3 s.
 constexpr milliseconds reportPeriod {2000};
 
@@ -24,7 +33,7 @@
     bool working = false;
     std::optional<task_id> ready; // the first task that waits for a start
     std::optional<assignment> unheard; // the first run that no worker lists
-    time_point lastHeard {}; // of the runs that no worker lists any more
+    std::optional<time_point> lastHeard; // of the runs that no worker lists any more
 };
 
 void surveyRun(const assignment &run, const stall_watch::heard_function &lastHeard, time_point now,
@@ -37,7 +46,8 @@
     }
     if (!survey.unheard)
         survey.unheard = run;
-    survey.lastHeard = std::max(survey.lastHeard, heard.value_or(time_point {}));
+    if (heard)
+        survey.lastHeard = std::max(*heard, survey.lastHeard.value_or(*heard));
 }
 
 void surveyStep(const task_id &first, const step_state &step,
@@ -88,8 +98,10 @@
         auto &item = stalled[job.id];
         if (known != jobs_.end())
             item = known->second;
+        else if (survey.unheard)
+            item.job = {{}, survey.lastHeard.value_or(now - electionTime), true, {}};
         else
-            item.job.since = survey.lastHeard == time_point {} ? now : survey.lastHeard;
+            item.job.since = now;
         item.job.task = survey.ready ? *survey.ready : survey.unheard->task;
         item.job.unheard = survey.unheard;
     });
@@ -116,6 +128,21 @@
     return due;
 }
 
+bool stall_watch::isOverdue(const std::string &job, time_point now) const
+{
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end())
+        return false;
+    const auto limit = found->second.job.afterLoss ? maxStallAfterLoss : maxStall;
+    return now - found->second.job.since >= limit;
+}
+
+bool stall_watch::isAfterLoss(const std::string &job) const
+{
+    const auto found = jobs_.find(job);
+    return found != jobs_.end() && found->second.job.afterLoss;
+}
+
 std::chrono::microseconds stall_watch::longest(time_point now) const
 {
     std::chrono::microseconds found {0};
--- a/packages/batch/src/stall_cause.cc
+++ b/packages/batch/src/stalls.cc
@@ -3,11 +3,30 @@
 #include <algorithm>
 #include <array>
 
-// Tells why a stalled job has no worker: which preference keeps it from the room that is left.
+// Preferences of placement that must not stall a job: each is waived for a job of which nothing has
+// run for a while, and the one that keeps a stalled job from a worker is named.
 namespace persimmon::batch {
 
 namespace {
 
+struct preference
+{
+    wait_cause cause; // of a wait that waiving it would end
+    bool detail::waivers::*waived;
+};
+
+// In the order in which they are waived.
+constexpr std::array<preference, 5> preferences {{
+        {wait_cause::KeptRoom, &detail::waivers::reserves},
+        {wait_cause::FailedThere, &detail::waivers::failures},
+        {wait_cause::KeptApart, &detail::waivers::isolation},
+        {wait_cause::Quarantined, &detail::waivers::quarantine},
+        {wait_cause::OneRack, &detail::waivers::oneRack},
+}};
+
+// Of them, those that are waived for stalled jobs.
+constexpr std::size_t waivedCount = 1;
+
 std::int64_t percentInUse(std::int64_t available, std::int64_t capacity)
 {
     return capacity <= 0 ? 0 : 100 - available * 100 / capacity;
@@ -15,6 +34,33 @@
 
 } // namespace
 
+// Returns whether a unit may use any room, because nothing of its job has run for long.
+bool scheduler::pass::mustStart(const unit &item) const
+{
+    return input_.stalls != nullptr && !resumedJobs_.contains(item.job->id)
+            && input_.stalls->isOverdue(item.job->id, input_.now);
+}
+
+// Places one task of a stalled job, or its gang, and waives no more preferences than that takes.
+std::vector<scheduler::pass::slot> scheduler::pass::placeStalled(const unit &item)
+{
+    auto relaxed = item;
+    if (!item.placedTogether())
+        relaxed.indexes.resize(1);
+    auto anywhere = relaxed;
+    for (std::size_t i = 0; i < waivedCount; ++i)
+        anywhere.waived.*preferences[i].waived = true;
+    if (isDominated(anywhere))
+        return {};
+    for (std::size_t i = 0; i < waivedCount; ++i) {
+        relaxed.waived.*preferences[i].waived = true;
+        if (auto slots = place(relaxed); !slots.empty())
+            return slots;
+    }
+    recordUnplaceable(anywhere);
+    return {};
+}
+
 void scheduler::pass::explain(const unit &item, wait_cause cause)
 {
     if (!input_.explain.contains(item.job->id))
@@ -34,18 +80,6 @@
 // Waives one preference after the other until the unit finds workers. The last one is the cause.
 wait_cause scheduler::pass::causeOf(const unit &item) const
 {
-    struct preference
-    {
-        wait_cause cause;
-        bool detail::waivers::*waived;
-    };
-    static constexpr std::array<preference, 5> preferences {{
-            {wait_cause::KeptRoom, &detail::waivers::reserves},
-            {wait_cause::FailedThere, &detail::waivers::failures},
-            {wait_cause::KeptApart, &detail::waivers::isolation},
-            {wait_cause::Quarantined, &detail::waivers::quarantine},
-            {wait_cause::OneRack, &detail::waivers::oneRack},
-    }};
     auto relaxed = item;
     if (!place(relaxed).empty())
         return wait_cause::Skipped;
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -45,8 +45,10 @@
     // Returns whether the choice of workers depends only on their pool and resources.
     bool isUnconstrained() const
     {
-        return spec->requiredLabel.empty() && spec->maxPerWorker == 0 && avoidedWorkers.empty()
-                && !lastAttempt && !suspected && job->source.adviceValidMs == 0;
+        const bool isSuspected = suspected && !waived.isolation;
+        const bool hasFailed = (lastAttempt || retried()) && !waived.failures;
+        return spec->requiredLabel.empty() && spec->maxPerWorker == 0
+                && job->source.adviceValidMs == 0 && !isSuspected && !hasFailed;
     }
 };
 
