--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -118,7 +118,7 @@
 
 void scheduler::pass::scheduleUnit(unit &item)
 {
-    if (item.startsLater) {
+    if (startsLater(item)) {
         countWaiting(item);
         output_.waits.push_back({item.first, wait_cause::Suspected});
         explain(item, wait_cause::Suspected);
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -117,6 +117,7 @@
 
     // stalls.cc
     bool mustStart(const unit &item) const;
+    bool startsLater(const unit &item) const;
     std::vector<slot> placeStalled(const unit &item);
     void explain(const unit &item, wait_cause cause);
     wait_cause causeOf(const unit &item) const;
--- a/packages/batch/src/stalls.cc
+++ b/packages/batch/src/stalls.cc
@@ -25,7 +25,7 @@
 }};
 
 // Of them, those that are waived for stalled jobs.
-constexpr std::size_t waivedCount = 2;
+constexpr std::size_t waivedCount = 3;
 
 std::int64_t percentInUse(std::int64_t available, std::int64_t capacity)
 {
@@ -41,6 +41,13 @@
             && input_.stalls->isOverdue(item.job->id, input_.now);
 }
 
+// Returns whether a unit has to wait so that it doesn't start together with other suspects. That
+// ends by itself, but after a loss that was known late it must not take its whole time.
+bool scheduler::pass::startsLater(const unit &item) const
+{
+    return item.startsLater && !(mustStart(item) && input_.stalls->isAfterLoss(item.job->id));
+}
+
 // Places one task of a stalled job, or its gang, and waives no more preferences than that takes.
 std::vector<scheduler::pass::slot> scheduler::pass::placeStalled(const unit &item)
 {
