Don't let a quarantine stall a job

Cause: a worker on which two jobs in a row have failed gets no task for 6 s. Jobs that always fail put sound workers there, up to half of the fleet. Class: a preference without a bound. The quarantine is waived for a job that has stalled for 2 s, as the last but one preference.

--- a/packages/batch/src/stalls.cc
+++ b/packages/batch/src/stalls.cc
@@ -25,7 +25,7 @@
 }};
 
 // Of them, those that are waived for stalled jobs.
-constexpr std::size_t waivedCount = 3;
+constexpr std::size_t waivedCount = 4;
 
 std::int64_t percentInUse(std::int64_t available, std::int64_t capacity)
 {
