Spread a gang over racks if it stalls and fits there twice over

Cause: a gang with same_rack that would fit into an empty rack waited for one without a bound, whatever was free elsewhere. Class: a preference without a bound.

--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -122,6 +122,7 @@
     void explain(const unit &item, wait_cause cause);
     wait_cause causeOf(const unit &item) const;
     std::int64_t roomFor(const unit &item) const;
+    bool hasRoomTwice(const unit &item) const;
 
     // reserve.cc
     void collectPools();
--- a/packages/batch/src/stalls.cc
+++ b/packages/batch/src/stalls.cc
@@ -24,9 +24,6 @@
         {wait_cause::OneRack, &detail::waivers::oneRack},
 }};
 
-// Of them, those that are waived for stalled jobs.
-constexpr std::size_t waivedCount = 4;
-
 std::int64_t percentInUse(std::int64_t available, std::int64_t capacity)
 {
     return capacity <= 0 ? 0 : 100 - available * 100 / capacity;
@@ -55,12 +52,14 @@
     if (!item.placedTogether())
         relaxed.indexes.resize(1);
     auto anywhere = relaxed;
-    for (std::size_t i = 0; i < waivedCount; ++i)
-        anywhere.waived.*preferences[i].waived = true;
+    anywhere.waived = {true, true, true, true, !item.inOneRack()};
     if (isDominated(anywhere))
         return {};
-    for (std::size_t i = 0; i < waivedCount; ++i) {
-        relaxed.waived.*preferences[i].waived = true;
+    for (const auto &[cause, waived] : preferences) {
+        relaxed.waived.*waived = true;
+        // A gang that is spread over racks takes several times as long.
+        if (cause == wait_cause::OneRack && !hasRoomTwice(item))
+            break;
         if (auto slots = place(relaxed); !slots.empty())
             return slots;
     }
@@ -68,6 +67,11 @@
     return {};
 }
 
+bool scheduler::pass::hasRoomTwice(const unit &item) const
+{
+    return roomFor(item) >= 2 * static_cast<std::int64_t>(item.indexes.size());
+}
+
 void scheduler::pass::explain(const unit &item, wait_cause cause)
 {
     if (!input_.explain.contains(item.job->id))
