Give up the runs of a lost worker a second sooner under a new leader

Cause: a new leader that has never heard a worker waited 1 s + 5.3 s before it gave up the worker's runs, as the earlier leader might extend leases for 1 s more. Class: a safety margin counted twice. The earlier leader can't: its own lease (7/8 of the election time-out) has run out before a majority votes for another, it asks for that lease before each answer, a transfer ends it, and a lease of a worker counts from the sending of the heartbeat. Evidence: newLeaderGivesUpTheRunsOfALostWorkerInTime: 6.3 s after the begin of the term before, 5.3 s now.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -39,8 +39,6 @@
     milliseconds quarantine {6000}; // of a worker on which two jobs in a row have failed
     milliseconds endedJobRetention {300000}; // retention of jobs after their end
     milliseconds goneWorkerRetention {60000}; // retention of workers after their last heartbeat
-    // An earlier leader may have extended leases until this time after the start of the term.
-    milliseconds leaderLease {1000};
     // A run that its worker doesn't list for this time was never started. Runs that are being
     // stopped aren't listed either, so the limit is longer than a stop takes.
     milliseconds missingRunLimit {1600};
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -79,8 +79,8 @@
             ++found;
         const bool isKnown = found != workers_.end() && found->first == worker;
         const bool gone = isKnown && isGone(found->second, now);
-        const auto lastHeartbeat
-                = isKnown ? found->second.lastHeartbeat : termStart_ + options_.leaderLease;
+        // The earlier leader has extended no lease since this term began.
+        const auto lastHeartbeat = isKnown ? found->second.lastHeartbeat : termStart_;
         if (!gone && lastHeartbeat + lease + leaseMargin > now)
             continue;
         std::vector<assignment> expired;
