Don't let a job wait for the clock of another machine

Cause: a job became due when the leader's time of day had reached the time at which another leader had accepted it, also where the job names no time. Where the new leader's clock is behind, or was set back, each job accepted shortly before waited for as long. Only times that a job names are waited for now. Evidence: jobDoesNotWaitForTheClockOfANewLeader started after 5 s with a clock 5 s behind before; within 3 s now.

--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -155,9 +155,9 @@
     const auto objective = job.objectiveMs();
     const auto toEnd = timesToEnd(job.spec);
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
-        const auto due = dueMs(job, occurrence);
-        if (due > wallMs)
+        if (scheduledMs(job, occurrence) > wallMs)
             break;
+        const auto due = dueMs(job, occurrence);
         for (std::uint32_t stepIndex = 0; stepIndex < job.occurrences[occurrence].size();
              ++stepIndex) {
             const auto &spec = job.spec.steps[stepIndex];
