Keep suspects apart while workers are still being lost

Suspicion is waived now only once no worker was lost for 6.3 s; a new leader counts from a second before its term. Other preferences are waived after 2 s as before. Evidence: suspectsStayApartWhileWorkersAreBeingLost fails without the change.

--- a/packages/batch/include/batch/stall_watch.h
+++ b/packages/batch/include/batch/stall_watch.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "batch/ledger.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -16,7 +17,6 @@
 {
     task_id task; // the first task that could run
     time_point since {}; // when a run of the job was last heard of, or when the task became ready
-    bool afterLoss = false; // a run was lost with its worker
     std::optional<assignment> unheard; // its run in the ledger, which no worker has listed lately
 };
 
@@ -37,8 +37,11 @@
     // Returns whether a job has been stalled for so long that no preference may keep it from room.
     bool isOverdue(const std::string &job, time_point now) const;
 
-    // Returns whether the stall of a job began with the loss of a worker.
-    bool isAfterLoss(const std::string &job) const;
+    // Records that a worker was lost, and when it was last heard of.
+    void recordLoss(time_point lastHeard) { newestLoss_ = std::max(newestLoss_, lastHeard); }
+
+    // Returns whether no worker was lost for so long that suspicion no longer excuses a stall.
+    bool isCalm(time_point now) const;
 
     // Returns the jobs whose stall has to be logged now, and again after the same time.
     std::vector<stalled_job> takeDueReports(time_point now);
@@ -48,7 +51,7 @@
     // Returns the length of the longest stall, or zero.
     std::chrono::microseconds longest(time_point now) const;
 
-    void clear() { jobs_.clear(); }
+    void clear();
 
 private:
     struct entry
@@ -58,6 +61,7 @@
     };
 
     std::map<std::string, entry> jobs_;
+    time_point newestLoss_ {};
 };
 
 } // namespace persimmon::batch
--- a/packages/batch/src/controller-losses.cc
+++ b/packages/batch/src/controller-losses.cc
@@ -189,8 +189,11 @@
 void controller::commitLosses(std::vector<worker_loss> losses, std::vector<run_end> ends,
                               time_point now, std::int64_t wallMs, std::function<void(status)> done)
 {
-    for (const auto &loss : losses)
+    for (const auto &loss : losses) {
         logLoss(loss, now);
+        if (workers_.contains(loss.worker))
+            stalls_.recordLoss(loss.lastHeartbeat);
+    }
     auto runs = losses.empty() ? std::vector<lost_run> {}
                                : attribution_.add(std::move(losses), silentWorkers(now), now);
     if (runs.empty())
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -19,6 +19,9 @@
 // A heartbeat that was in transit for longer than this is ignored: its answer would come too late.
 constexpr std::int64_t maxTransitMs = 1000;
 
+// From the loss of a leader to the term of the next one, about.
+constexpr milliseconds electionTime {1000};
+
 // Relative rate difference allowed between a worker's clock and the leader's.
 constexpr double maxClockDrift = 0.025;
 
@@ -41,6 +44,8 @@
     termStart_ = now;
     now_ = now;
     passRequested_ = true;
+    // Workers may have been lost together with the earlier leader.
+    stalls_.recordLoss(now - electionTime);
     logEvent("leader.begin", {{"term", term}, {"jobs", state_.jobCount()}});
 }
 
--- a/packages/batch/src/stall_watch.cc
+++ b/packages/batch/src/stall_watch.cc
@@ -8,14 +8,10 @@
 
 namespace {
 
-// Work starts within 3 s beside room that it may use, and within 7 s after a disturbance such as
-// the loss of its worker. The rest of that time is for a pass, the commit of the start and the way
-// of the order.
+// Work starts within 3 s beside room that it may use, and within 7 s after the loss of a worker.
+// The rest of that time is for a pass, the commit of the start and the way of the order.
 constexpr milliseconds maxStall {2000};
-constexpr milliseconds maxStallAfterLoss {6300};
-
-// A run that this leader never heard of was lost while there was no leader, for about this time.
-constexpr milliseconds electionTime {1000};
+constexpr milliseconds calmAfterLoss {6300};
 
 // A stall of this time is logged, and again after each such time. Work should start in 3 s.
 constexpr milliseconds reportPeriod {2000};
@@ -94,14 +90,14 @@
         const auto survey = surveyOf(job, lastHeard, now, wallMs);
         if (survey.working || (!survey.ready && !survey.unheard))
             return;
+        if (survey.lastHeard)
+            recordLoss(*survey.lastHeard);
         const auto known = jobs_.find(job.id);
         auto &item = stalled[job.id];
         if (known != jobs_.end())
             item = known->second;
-        else if (survey.unheard)
-            item.job = {{}, survey.lastHeard.value_or(now - electionTime), true, {}};
         else
-            item.job.since = now;
+            item.job.since = survey.lastHeard.value_or(now);
         item.job.task = survey.ready ? *survey.ready : survey.unheard->task;
         item.job.unheard = survey.unheard;
     });
@@ -131,16 +127,18 @@
 bool stall_watch::isOverdue(const std::string &job, time_point now) const
 {
     const auto found = jobs_.find(job);
-    if (found == jobs_.end())
-        return false;
-    const auto limit = found->second.job.afterLoss ? maxStallAfterLoss : maxStall;
-    return now - found->second.job.since >= limit;
+    return found != jobs_.end() && now - found->second.job.since >= maxStall;
 }
 
-bool stall_watch::isAfterLoss(const std::string &job) const
+bool stall_watch::isCalm(time_point now) const
 {
-    const auto found = jobs_.find(job);
-    return found != jobs_.end() && found->second.job.afterLoss;
+    return now - newestLoss_ >= calmAfterLoss;
+}
+
+void stall_watch::clear()
+{
+    jobs_.clear();
+    newestLoss_ = {};
 }
 
 std::chrono::microseconds stall_watch::longest(time_point now) const
--- a/packages/batch/src/stalls.cc
+++ b/packages/batch/src/stalls.cc
@@ -38,11 +38,10 @@
             && input_.stalls->isOverdue(item.job->id, input_.now);
 }
 
-// Returns whether a unit has to wait so that it doesn't start together with other suspects. That
-// ends by itself, but after a loss that was known late it must not take its whole time.
+// Returns whether a unit has to wait so that it doesn't start together with other suspects.
 bool scheduler::pass::startsLater(const unit &item) const
 {
-    return item.startsLater && !(mustStart(item) && input_.stalls->isAfterLoss(item.job->id));
+    return item.startsLater && !(mustStart(item) && input_.stalls->isCalm(input_.now));
 }
 
 // Places one task of a stalled job, or its gang, and waives no more preferences than that takes.
@@ -52,11 +51,13 @@
     if (!item.placedTogether())
         relaxed.indexes.resize(1);
     auto anywhere = relaxed;
-    anywhere.waived = {true, true, true, true, !item.inOneRack()};
+    // Just after a loss, suspects would take others with them.
+    const bool calm = input_.stalls->isCalm(input_.now);
+    anywhere.waived = {true, true, calm, true, !item.inOneRack()};
     if (isDominated(anywhere))
         return {};
     for (const auto &[cause, waived] : preferences) {
-        relaxed.waived.*waived = true;
+        relaxed.waived.*waived = cause != wait_cause::KeptApart || calm;
         // A gang that is spread over racks takes several times as long.
         if (cause == wait_cause::OneRack && !hasRoomTwice(item))
             break;
--- a/packages/batch/test/stall-test.cc
+++ b/packages/batch/test/stall-test.cc
@@ -152,6 +152,29 @@
         CHECK_EQUAL(2, fleet.startsOf({job, 0, 0, 0}));
 }
 
+// Guards against suspects that take others with them, because the stall of one puts them on the
+// same worker while workers are still being lost.
+TEST(Stall, suspectsStayApartWhileWorkersAreBeingLost)
+{
+    crash_fleet fleet(endless(3));
+    fleet.leader.configure(2);
+    for (const auto *job : {"a", "b", "c", "small"})
+        fleet.leader.submit(std::string("/q2/") + job, endlessTasks(1, 1));
+    fleet.run(300);
+    fleet.crashRange(0, 3);
+    fleet.run(3500);
+    fleet.crashWorkerOf({"a", 0, 0, 0});
+    fleet.run(2900);
+    const auto &busy = fleet.leader.state.busyWorkers();
+    for (const auto &[worker, active] : busy)
+        CHECK_EQUAL(1, active.runs.size());
+    fleet.run(maxStallAfterLossMs - 2900);
+    std::size_t running = 0;
+    for (const auto &[worker, active] : busy)
+        running += active.runs.size();
+    CHECK_EQUAL(4, running);
+}
+
 // Guards against jobs that are started apart from each other after the lease of their lost workers
 // has passed already.
 TEST(Stall, jobsOfWorkersThatStaySilentStartInTime)
