Check that stalled jobs are traceable through the real processes

Only unit tests covered job.stalled and its gauges. Two process tests now check, with the logs of the schedulers and the metrics of the leader alone, that a job that waits in a full fleet is named with why=no_room, room=0 and in_use_percent=100, that one whose worker falls silent is named with why=run_not_listed, its run and the worker, that the leader writes the lines, that stalled_jobs and longest_stall_seconds show both, and that they return to 0 once the worker is heard again.

--- a/packages/system/test/batch-test.cc
+++ b/packages/system/test/batch-test.cc
@@ -7,6 +7,43 @@
 using namespace persimmon;
 using namespace persimmon::system_test;
 
+namespace {
+
+// A stalled job is named after 2 s, or 2.5 s after its worker was last heard. The rest of this time
+// is for a loaded machine.
+constexpr std::int64_t stallLogMs = 8000;
+
+// Returns the address at which a scheduler serves its metrics, from its settings file.
+std::string metricsAddress(int scheduler)
+{
+    const auto name = "scheduler-" + std::to_string(scheduler);
+    const auto text
+            = readFile("/tmp/persimmon-batch-" + std::to_string(getpid()) + "/" + name + ".ini");
+    const std::string key = "metrics_listen = ";
+    const auto begin = text.find(key) + key.size();
+    return text.substr(begin, text.find('\n', begin) - begin);
+}
+
+// Returns a gauge of the leader, or -1 if it has none of this name.
+double leaderGauge(const batch_system &system, const std::string &what)
+{
+    const auto leader = system.leader();
+    if (leader < 0)
+        return -1;
+    const auto metrics = call(metricsAddress(leader), "GET", "/metrics").body;
+    const auto name = "persimmon_scheduler_state{what=\"" + what + "\"} ";
+    const auto at = metrics.find(name);
+    return at == std::string::npos ? -1 : std::stod(metrics.substr(at + name.size()));
+}
+
+// Returns the lines that name a stalled job of an id with a reason.
+std::string stallLines(const batch_system &system, const std::string &job, const std::string &why)
+{
+    return system.logLines("event=job.stalled job=" + job + " ", "why=" + why + " ");
+}
+
+} // namespace
+
 TEST_GROUP(BatchSystem) {};
 
 // Guards against jobs that are lost or run twice when the leader is killed while they run.
@@ -122,6 +159,60 @@
     CHECK_TRUE(system.explain("c1").find("lost") != std::string::npos);
 }
 
+// Guards against a job that waits in a full fleet and is named neither in the log of the leader nor
+// in its metrics, or that hides behind jobs that do run.
+TEST(BatchSystem, jobThatWaitsInAFullFleetIsTraceableById)
+{
+    batch_system system;
+    platform::standin_fleet fleet(1);
+    CHECK_TRUE(system.configure());
+    const auto occupant = addJob(fleet, "full1", {4000, 30000, 1, false});
+    CHECK_TRUE(waitUntil(milliseconds {5000}, [&] {
+        return system.sendToGateway("POST", "/q/full1", occupant).status == 200;
+    }));
+    CHECK_TRUE(system.stepUntil(fleet, [&] { return fleet.hasStarted("full1.0.0.0"); }));
+    CHECK_EQUAL(
+            200,
+            system.sendToGateway("POST", "/q/wait1", addJob(fleet, "wait1", {1000, 200, 1, false}))
+                    .status);
+    CHECK_TRUE(system.stepUntil(
+            fleet, [&] { return !stallLines(system, "wait1", "no_room").empty(); }, stallLogMs));
+    const auto lines = stallLines(system, "wait1", "no_room");
+    CHECK_TRUE(lines.find("node=scheduler-" + std::to_string(system.leader()) + " ")
+               != std::string::npos);
+    CHECK_TRUE(lines.find("room=0 in_use_percent=100 ") != std::string::npos);
+    CHECK_TRUE(system.stepUntil(fleet, [&] { return leaderGauge(system, "stalled_jobs") == 1; }));
+    CHECK_TRUE(leaderGauge(system, "longest_stall_seconds") >= 2);
+    STRCMP_EQUAL("", stallLines(system, "full1", "no_room").c_str());
+}
+
+// Guards against a job whose only run is on a worker that is not heard any more, and whose log
+// doesn't name the run and the worker, and against gauges that stay up once it runs again.
+TEST(BatchSystem, jobOnAWorkerThatFallsSilentIsTraceableById)
+{
+    batch_system system;
+    platform::standin_fleet fleet(1);
+    CHECK_TRUE(system.configure());
+    const auto body = addJob(fleet, "mute1", {1000, 20000, 1, false});
+    CHECK_TRUE(waitUntil(milliseconds {5000}, [&] {
+        return system.sendToGateway("POST", "/q/mute1", body).status == 200;
+    }));
+    CHECK_TRUE(system.stepUntil(fleet, [&] { return fleet.hasStarted("mute1.0.0.0"); }));
+    CHECK_TRUE(system.stepUntil(fleet, [&] { return leaderGauge(system, "stalled_jobs") == 0; }));
+    // The worker sends nothing from here on.
+    CHECK_TRUE(waitUntil(milliseconds {stallLogMs},
+                         [&] { return !stallLines(system, "mute1", "run_not_listed").empty(); }));
+    const auto lines = stallLines(system, "mute1", "run_not_listed");
+    CHECK_TRUE(lines.find("node=scheduler-" + std::to_string(system.leader()) + " ")
+               != std::string::npos);
+    CHECK_TRUE(lines.find("worker=i-0 ") != std::string::npos);
+    CHECK_TRUE(lines.find("runs=1 ") != std::string::npos);
+    CHECK_EQUAL(1, leaderGauge(system, "stalled_jobs"));
+    CHECK_TRUE(leaderGauge(system, "longest_stall_seconds") >= 2);
+    CHECK_TRUE(system.stepUntil(fleet, [&] { return leaderGauge(system, "stalled_jobs") == 0; }));
+    CHECK_EQUAL(0, leaderGauge(system, "longest_stall_seconds"));
+}
+
 // Guards against a graceful shutdown that drops a request or hangs.
 TEST(BatchSystem, gatewayStopsGracefully)
 {
