--- a/packages/consensus/src/core-leader.cc
+++ b/packages/consensus/src/core-leader.cc
@@ -52,19 +52,12 @@
     }
     if (heartbeat) {
         // If an Append was lost, the peer rejects the previous entry of the heartbeat.
-        message value;
-        value.kind = message_kind::Append;
-        value.to = id;
-        value.term = term_;
-        value.index = to.next - 1;
-        value.logTerm = *log_.termAt(value.index);
-        value.commit = committed_;
-        value.stamp = stampOf(now_);
-        send(std::move(value));
+        send(nextAppend(id, to));
     }
 }
 
-void core::sendEntries(voter_id id, peer &to)
+// Returns an Append without entries that continues what the peer was sent.
+message core::nextAppend(voter_id id, const peer &to) const
 {
     message value;
     value.kind = message_kind::Append;
@@ -74,6 +67,12 @@
     value.logTerm = *log_.termAt(value.index);
     value.commit = committed_;
     value.stamp = stampOf(now_);
+    return value;
+}
+
+void core::sendEntries(voter_id id, peer &to)
+{
+    auto value = nextAppend(id, to);
     std::uint64_t bytes = 0;
     for (auto i = to.next; i <= log_.last() && value.entries.size() < maxBatchEntries; ++i) {
         bytes += log_.at(i).payload.size();
--- a/packages/consensus/src/core.h
+++ b/packages/consensus/src/core.h
@@ -196,6 +196,7 @@
     void onSnapshotReply(const message &input);
     bool recordReply(const message &input);
     void sendAppend(voter_id id, peer &to, bool heartbeat);
+    message nextAppend(voter_id id, const peer &to) const;
     void sendEntries(voter_id id, peer &to);
     void sendChunk(voter_id id, peer &to);
     void replicate();
