Keep one type for the connections of RPC clients

The clients of the control group, of the voters and of the relay each had their own struct of socket, client and remote object, and two had the same conversion of a duration. They share wire/rpc_connection.h, which only sources of RPC calls include. Measured: tests of wire, apps and cluster pass (arm64).

--- a/packages/apps/src/peer_transport.cc
+++ b/packages/apps/src/peer_transport.cc
@@ -2,8 +2,7 @@
 
 #include "base/log.h"
 #include "control.capnp.h"
-
-#include <capnp/rpc-twoparty.h>
+#include "wire/rpc_connection.h"
 
 #include <algorithm>
 #include <deque>
@@ -30,19 +29,7 @@
 constexpr milliseconds initialBackoff {50};
 constexpr milliseconds maxBackoff {1000};
 
-struct connection
-{
-    explicit connection(kj::Own<kj::AsyncIoStream> socket)
-        : stream(kj::mv(socket))
-        , client(*stream)
-        , remote(client.bootstrap().castAs<schema::Voter>())
-    {
-    }
-
-    kj::Own<kj::AsyncIoStream> stream;
-    capnp::TwoPartyClient client;
-    schema::Voter::Client remote;
-};
+using connection = rpc_connection<schema::Voter>;
 
 struct peer
 {
@@ -67,11 +54,6 @@
     }
 };
 
-kj::Duration toKj(milliseconds duration)
-{
-    return duration.count() * kj::MILLISECONDS;
-}
-
 } // namespace
 
 class peer_transport::implementation
--- a/packages/cluster/src/relay_client.cc
+++ b/packages/cluster/src/relay_client.cc
@@ -5,8 +5,7 @@
 #include "cluster/address.h"
 #include "cluster/retry_delay.h"
 #include "control.capnp.h"
-
-#include <capnp/rpc-twoparty.h>
+#include "wire/rpc_connection.h"
 
 #include <algorithm>
 #include <deque>
@@ -20,12 +19,9 @@
 
 namespace schema = wire::schema;
 
-constexpr std::size_t maxNodes = 64;
+using wire::toKj;
 
-kj::Duration toKj(milliseconds duration)
-{
-    return duration.count() * kj::MILLISECONDS;
-}
+constexpr std::size_t maxNodes = 64;
 
 // Returns whether every attempt of a request fails with a code.
 bool isAboutContent(result_code code)
@@ -34,20 +30,7 @@
             || code == result_code::InvalidTable;
 }
 
-struct connection
-{
-    explicit connection(kj::Own<kj::AsyncIoStream> socket)
-        : stream(kj::mv(socket))
-        , client(*stream)
-        , remote(client.bootstrap().castAs<schema::Voter>())
-    {
-    }
-
-    kj::Own<kj::AsyncIoStream> stream;
-    capnp::TwoPartyClient client;
-    schema::Voter::Client remote;
-};
-
+using connection = wire::rpc_connection<schema::Voter>;
 using connection_ptr = std::shared_ptr<connection>;
 
 struct node_link
--- a/packages/wire/src/control_client.cc
+++ b/packages/wire/src/control_client.cc
@@ -1,8 +1,7 @@
 #include "wire/control_client.h"
 
 #include "wire/convert.h"
-
-#include <capnp/rpc-twoparty.h>
+#include "wire/rpc_connection.h"
 
 #include <algorithm>
 #include <vector>
@@ -18,19 +17,7 @@
 // Delay before a retry, so that retries don't overload the voters during an election.
 constexpr milliseconds retryDelay {25};
 
-struct connection
-{
-    explicit connection(kj::Own<kj::AsyncIoStream> socket)
-        : stream(kj::mv(socket))
-        , client(*stream)
-        , control(client.bootstrap().castAs<schema::Control>())
-    {
-    }
-
-    kj::Own<kj::AsyncIoStream> stream;
-    capnp::TwoPartyClient client;
-    schema::Control::Client control;
-};
+using connection = rpc_connection<schema::Control>;
 
 // Response of one voter, with its leader hint.
 template <typename Value>
@@ -109,10 +96,10 @@
     {
         const auto target = leader_;
         auto &timer = loop_.io().provider->getTimer();
-        const auto timeout = request->timeout.count() * kj::MILLISECONDS;
+        const auto timeout = toKj(request->timeout);
         auto responsePromise
                 = connect(target).then([request](std::shared_ptr<connection> openConnection) {
-                      auto responsePromise = request->attempt(openConnection->control);
+                      auto responsePromise = request->attempt(openConnection->remote);
                       return responsePromise.attach(std::move(openConnection));
                   });
         return timer.timeoutAfter(timeout, kj::mv(responsePromise))
@@ -146,10 +133,9 @@
             request->done(std::move(answer.value));
             return kj::READY_NOW;
         }
-        return loop_.io()
-                .provider->getTimer()
-                .afterDelay(retryDelay.count() * kj::MILLISECONDS)
-                .then([this, request] { return attempt(request); });
+        return loop_.io().provider->getTimer().afterDelay(toKj(retryDelay)).then([this, request] {
+            return attempt(request);
+        });
     }
 
     // Selects the next voter, unless another call has already replaced the failed one.
