Convert lists of texts in one place

The codecs of calls and of the ledger each wrote and read lists of texts. Both use those of wire/convert.h now; the bytes are the same. Measured: tests of wire and control pass, with the golden files (arm64).

--- a/packages/control/src/codec.h
+++ b/packages/control/src/codec.h
@@ -23,7 +23,9 @@
 reply read(schema::Reply::Reader source);
 
 using wire::read;
+using wire::readTexts;
 using wire::write;
+using wire::writeTexts;
 
 template <typename ListBuilder, typename Items>
 void writeList(ListBuilder list, const Items &items)
@@ -43,22 +45,6 @@
     return items;
 }
 
-inline void writeTexts(capnp::List<capnp::Text>::Builder list,
-                       const std::vector<std::string> &texts)
-{
-    for (unsigned i = 0; i < list.size(); ++i)
-        list.set(i, wire::toText(texts[i]));
-}
-
-inline std::vector<std::string> readTexts(capnp::List<capnp::Text>::Reader list)
-{
-    std::vector<std::string> texts;
-    texts.reserve(list.size());
-    for (const auto &text : list)
-        texts.push_back(wire::toString(text));
-    return texts;
-}
-
 inline job_id toJob(std::uint64_t number)
 {
     return static_cast<job_id>(number);
--- a/packages/wire/include/wire/convert.h
+++ b/packages/wire/include/wire/convert.h
@@ -63,6 +63,11 @@
 // Returns a reader over a text without copying it. The text must outlive the reader.
 capnp::Text::Reader toText(const std::string &text);
 
+// Writes texts to a list, which must have been created with their number.
+void writeTexts(capnp::List<capnp::Text>::Builder list, std::span<const std::string> texts);
+
+std::vector<std::string> readTexts(capnp::List<capnp::Text>::Reader list);
+
 // Returns the bytes of a message in Cap'n Proto's flat format.
 std::vector<std::byte> toBytes(capnp::MessageBuilder &message);
 
--- a/packages/wire/src/convert.cc
+++ b/packages/wire/src/convert.cc
@@ -26,8 +26,19 @@
     return items;
 }
 
-template <typename ListBuilder>
-void writeTexts(ListBuilder list, const std::vector<std::string> &texts)
+} // namespace
+
+std::string toString(capnp::Text::Reader text)
+{
+    return {text.begin(), text.size()};
+}
+
+capnp::Text::Reader toText(const std::string &text)
+{
+    return {text.c_str(), text.size()};
+}
+
+void writeTexts(capnp::List<capnp::Text>::Builder list, std::span<const std::string> texts)
 {
     for (unsigned i = 0; i < list.size(); ++i)
         list.set(i, toText(texts[i]));
@@ -42,18 +53,6 @@
     return texts;
 }
 
-} // namespace
-
-std::string toString(capnp::Text::Reader text)
-{
-    return {text.begin(), text.size()};
-}
-
-capnp::Text::Reader toText(const std::string &text)
-{
-    return {text.c_str(), text.size()};
-}
-
 std::vector<std::byte> toBytes(capnp::MessageBuilder &message)
 {
     const auto words = capnp::messageToFlatArray(message);
