Parse the command lines of both programs in one place

persimmond and persimmonctl each turned the exceptions of the parser into results, and had the same usageError(). parseWords() does it for both.

--- a/packages/apps/src/ctl_arguments.cc
+++ b/packages/apps/src/ctl_arguments.cc
@@ -3,8 +3,7 @@
 #include "apps/option_words.h"
 #include "apps/version.h"
 #include "base/ini.h"
-
-#include <tclap/CmdLine.h>
+#include "command_line.h"
 
 #include <algorithm>
 #include <array>
@@ -33,11 +32,6 @@
         {"voters", 2, "voters add|remove NUMBER"},
 }};
 
-error usageError(std::string detail, std::string field)
-{
-    return {result_code::UsageError, std::move(detail), std::move(field), {}};
-}
-
 std::vector<std::string> splitAddresses(std::string_view list)
 {
     std::vector<std::string> addresses;
@@ -147,16 +141,12 @@
                                                       const std::string &environment)
 {
     TCLAP::CmdLine commandLine(std::string(programText), ' ', std::string(programVersion));
-    commandLine.setExceptionHandling(false);
     option_set options(commandLine);
-    auto splitArguments = splitOptionValues(arguments);
-    try {
-        commandLine.parse(splitArguments);
-    } catch (const TCLAP::ArgException &failure) {
-        return usageError(failure.error(), failure.argId());
-    } catch (const TCLAP::ExitException &) {
+    const auto parsed = parseWords(commandLine, splitOptionValues(arguments));
+    if (failed(parsed))
+        return errorOf(parsed);
+    if (!valueOf(parsed))
         return std::nullopt;
-    }
     const auto &format = options.output.getValue();
     if (format != "table" && format != "json")
         return usageError("table or json", "output");
--- a/packages/apps/src/daemon_arguments.cc
+++ b/packages/apps/src/daemon_arguments.cc
@@ -2,8 +2,7 @@
 
 #include "apps/option_words.h"
 #include "apps/version.h"
-
-#include <tclap/CmdLine.h>
+#include "command_line.h"
 
 #include <algorithm>
 #include <array>
@@ -13,11 +12,6 @@
 
 namespace {
 
-error usageError(std::string detail, std::string field)
-{
-    return {result_code::UsageError, std::move(detail), std::move(field), {}};
-}
-
 constexpr std::array<std::pair<std::string_view, daemon_role>, 4> roles {{
         {"control", daemon_role::Control},
         {"entry", daemon_role::Entry},
@@ -58,7 +52,6 @@
 result<std::optional<daemon_arguments>> readDaemonArguments(std::span<const std::string> arguments)
 {
     TCLAP::CmdLine commandLine("Scheduler and request proxy", ' ', std::string(programVersion));
-    commandLine.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> role("", "role", "role of this process", false, "",
                                       "control|entry|scheduler|gateway", commandLine);
     TCLAP::ValueArg<std::string> file("", "settings", "settings file", false, "", "FILE",
@@ -69,14 +62,11 @@
                                "print the table of all settings and exit", commandLine);
     TCLAP::SwitchArg codes("", "print-result-codes", "print the table of all result codes and exit",
                            commandLine);
-    auto splitArguments = addSettingsOption(splitOptionValues(arguments));
-    try {
-        commandLine.parse(splitArguments);
-    } catch (const TCLAP::ArgException &failure) {
-        return usageError(failure.error(), failure.argId());
-    } catch (const TCLAP::ExitException &) {
+    const auto parsed = parseWords(commandLine, addSettingsOption(splitOptionValues(arguments)));
+    if (failed(parsed))
+        return errorOf(parsed);
+    if (!valueOf(parsed))
         return std::nullopt;
-    }
     daemon_arguments values;
     if (const auto *knownRole = findRole(role.getValue()); knownRole != nullptr)
         values.role = knownRole->second;
