--- a/packages/base/src/settings.cc
+++ b/packages/base/src/settings.cc
@@ -1,10 +1,10 @@
 #include "base/settings.h"
 
+#include "base/field_setter.h"
 #include "base/text.h"
 
 #include <algorithm>
 #include <array>
-#include <functional>
 #include <optional>
 
 namespace persimmon {
@@ -13,27 +13,14 @@
 
 enum class required_by : std::uint8_t { None, Both, Control, Entry };
 
-// Sets one field from its text. Returns the allowed values if the text is invalid.
-using field_setter = std::function<std::optional<std::string>(settings &, const std::string &)>;
-
 struct field
 {
     settings_key description;
     required_by requiredBy;
-    field_setter set;
+    field_setter<settings> set;
 };
 
-field_setter text(std::string settings::*member)
-{
-    return [member](settings &target, const std::string &value) -> std::optional<std::string> {
-        if (value.empty())
-            return "a non-empty text";
-        target.*member = value;
-        return std::nullopt;
-    };
-}
-
-field_setter locationText(std::string location::*member)
+field_setter<settings> locationSetter(std::string location::*member)
 {
     return [member](settings &target, const std::string &value) -> std::optional<std::string> {
         if (value.empty())
@@ -54,31 +41,13 @@
             && !failed(parseNumber(value.substr(colon + 1), 1, 65535));
 }
 
-field_setter address(std::string settings::*member)
-{
-    return [member](settings &target, const std::string &value) -> std::optional<std::string> {
-        if (!isAddress(value))
-            return "IP:port";
-        target.*member = value;
-        return std::nullopt;
-    };
-}
-
-template <typename Number>
-field_setter number(Number settings::*member, std::uint64_t low, std::uint64_t high)
+field_setter<settings> addressSetter(std::string settings::*member)
 {
-    return [member, low, high](settings &target,
-                               const std::string &value) -> std::optional<std::string> {
-        const auto parsed = parseNumber(value, low, high);
-        if (failed(parsed))
-            return errorOf(parsed).detail;
-        target.*member = static_cast<Number>(valueOf(parsed));
-        return std::nullopt;
-    };
+    return textSetter(member, isAddress, "IP:port");
 }
 
 // Parses a percentage and stores it as a fraction.
-field_setter percent(double settings::*member)
+field_setter<settings> percentSetter(double settings::*member)
 {
     return [member](settings &target, const std::string &value) -> std::optional<std::string> {
         const auto parsed = parseNumber(value, 0, 100);
@@ -89,31 +58,15 @@
     };
 }
 
-field_setter duration(milliseconds settings::*member, std::uint64_t low, std::uint64_t high)
-{
-    return [member, low, high](settings &target,
-                               const std::string &value) -> std::optional<std::string> {
-        const auto parsed = parseNumber(value, low, high);
-        if (failed(parsed))
-            return errorOf(parsed).detail;
-        target.*member = milliseconds {valueOf(parsed)};
-        return std::nullopt;
-    };
-}
-
-field_setter choice(std::string settings::*member, std::vector<std::string> allowed)
+field_setter<settings> choiceSetter(std::string settings::*member, std::vector<std::string> choices)
 {
-    return [member, allowed = std::move(allowed)](
-                   settings &target, const std::string &value) -> std::optional<std::string> {
-        if (std::ranges::find(allowed, value) == allowed.end()) {
-            std::string list = "one of";
-            for (const auto &name : allowed)
-                list += " " + name;
-            return list;
-        }
-        target.*member = value;
-        return std::nullopt;
+    std::string allowed = "one of";
+    for (const auto &name : choices)
+        allowed += " " + name;
+    const auto isChoice = [choices = std::move(choices)](std::string_view value) {
+        return std::ranges::find(choices, value) != choices.end();
     };
+    return textSetter(member, isChoice, allowed);
 }
 
 constexpr std::size_t maxVoters = 7;
@@ -156,111 +109,111 @@
     static const std::vector<field> table {
             {{"instance", "id", "text", "", "unique name of the process"},
              Both,
-             text(&s::instanceId)},
+             textSetter(&s::instanceId)},
             {{"instance", "region", "text", "", "region of the instance"},
              Both,
-             locationText(&location::region)},
+             locationSetter(&location::region)},
             {{"instance", "zone", "text", "", "availability zone of the instance"},
              Both,
-             locationText(&location::zone)},
+             locationSetter(&location::zone)},
             {{"instance", "rack", "text", "-", "rack of the instance"},
              None,
-             locationText(&location::rack)},
+             locationSetter(&location::rack)},
             {{"instance", "log_level", "trace, debug, info, warn, error, off", "info",
               "level of log lines"},
              None,
-             choice(&s::logLevel, {"trace", "debug", "info", "warn", "error", "off"})},
+             choiceSetter(&s::logLevel, {"trace", "debug", "info", "warn", "error", "off"})},
             {{"http", "listen", "IP:port", "",
               "address for callers, upstreams, operators and metrics"},
              Both,
-             address(&s::httpListen)},
+             addressSetter(&s::httpListen)},
             {{"http", "threads", "2 to 16", "4", "threads of the HTTP library"},
              None,
-             number(&s::httpThreads, 2, 16)},
+             numberSetter(&s::httpThreads, 2, 16)},
             {{"http", "max_header_bytes", "1024 to 65536", "16384",
               "limit of all header fields of a request"},
              None,
-             number(&s::maxHeaderBytes, 1024, 65536)},
+             numberSetter(&s::maxHeaderBytes, 1024, 65536)},
             {{"http", "max_body_bytes", "1024 to 16777216", "1048576",
               "limit of a request or answer body"},
              None,
-             number(&s::maxBodyBytes, 1024, 16777216)},
+             numberSetter(&s::maxBodyBytes, 1024, 16777216)},
             {{"http", "timeout_ms", "100 to 600000", "30000",
               "time limit for receiving one request"},
              None,
-             duration(&s::httpTimeout, 100, 600000)},
+             numberSetter(&s::httpTimeout, 100, 600000)},
             {{"control", "voters", votersAllowed, "", "all voters of the control group"},
              Both,
              setVoters},
             {{"control", "voter_id", "1 to 1000", "", "number of this voter"},
              Control,
-             number(&s::voterId, 1, 1000)},
+             numberSetter(&s::voterId, 1, 1000)},
             {{"control", "rpc_listen", "IP:port", "",
               "address for calls between the system's processes"},
              Control,
-             address(&s::rpcListen)},
+             addressSetter(&s::rpcListen)},
             {{"control", "data_folder", "path", "", "folder of the replicated log and snapshots"},
              Control,
-             text(&s::dataFolder)},
+             textSetter(&s::dataFolder)},
             {{"control", "election_timeout_ms", "50 to 10000", "300",
               "silence after which a voter starts an election"},
              None,
-             duration(&s::electionTimeout, 50, 10000)},
+             numberSetter(&s::electionTimeout, 50, 10000)},
             {{"control", "heartbeat_ms", "10 to 2000", "60", "period of the leader's heartbeats"},
              None,
-             duration(&s::heartbeat, 10, 2000)},
+             numberSetter(&s::heartbeat, 10, 2000)},
             {{"control", "snapshot_entries", "100 to 1000000", "10000",
               "log entries between snapshots"},
              None,
-             number(&s::snapshotEntries, 100, 1000000)},
+             numberSetter(&s::snapshotEntries, 100, 1000000)},
             {{"control", "checkpoint_deadline_ms", "100 to 600000", "2000",
               "time a preempted task has for its checkpoint"},
              None,
-             duration(&s::checkpointDeadline, 100, 600000)},
+             numberSetter(&s::checkpointDeadline, 100, 600000)},
             {{"sync", "wait_ms", "50 to 1500", "500", "longest wait of one sync call"},
              None,
-             duration(&s::syncWait, 50, 1500)},
+             numberSetter(&s::syncWait, 50, 1500)},
             {{"sync", "configuration_lease_ms", "500 to 2500", "2000",
               "time an entry serves without contact to control"},
              None,
-             duration(&s::configurationLease, 500, 2500)},
+             numberSetter(&s::configurationLease, 500, 2500)},
             {{"upstreams", "announce_period_ms", "100 to 10000", "1000", "period of announcements"},
              None,
-             duration(&s::announcePeriod, 100, 10000)},
+             numberSetter(&s::announcePeriod, 100, 10000)},
             {{"upstreams", "lease_ms", "300 to 60000", "3000",
               "time an upstream counts as present after an announcement"},
              None,
-             duration(&s::upstreamLease, 300, 60000)},
+             numberSetter(&s::upstreamLease, 300, 60000)},
             {{"upstreams", "task_lease_ms", "1000 to 600000", "10000",
               "time a task runs without a renewed lease"},
              None,
-             duration(&s::taskLease, 1000, 600000)},
+             numberSetter(&s::taskLease, 1000, 600000)},
             {{"entry", "drain_delay_ms", "0 to 60000", "1000",
               "wait between readiness off and closing the listener"},
              None,
-             duration(&s::drainDelay, 0, 60000)},
+             numberSetter(&s::drainDelay, 0, 60000)},
             {{"entry", "queue_length", "1 to 100000", "256", "queued requests of one workspace"},
              None,
-             number(&s::queueLength, 1, 100000)},
+             numberSetter(&s::queueLength, 1, 100000)},
             {{"entry", "retry_percent", "0 to 100", "10", "retries as a share of requests"},
              None,
-             number(&s::retryPercent, 0, 100)},
+             numberSetter(&s::retryPercent, 0, 100)},
             {{"entry", "slot_sharing", "fixed, lending", "lending",
               "how entries share the slots of an upstream"},
              None,
-             choice(&s::slotSharing, {"fixed", "lending"})},
+             choiceSetter(&s::slotSharing, {"fixed", "lending"})},
             {{"placement", "strategy", "first_fit, best_fit, buddy", "buddy",
               "strategy that places gangs"},
              None,
-             choice(&s::placementStrategy, {"first_fit", "best_fit", "buddy"})},
+             choiceSetter(&s::placementStrategy, {"first_fit", "best_fit", "buddy"})},
             {{"placement", "completion_weight", "0 to 100", "50",
               "weight of completion time, percent"},
              None,
-             percent(&s::completionWeight)},
+             percentSetter(&s::completionWeight)},
             {{"placement", "fragmentation_weight", "0 to 100", "50",
               "weight of fragmentation, percent"},
              None,
-             percent(&s::fragmentationWeight)},
+             percentSetter(&s::fragmentationWeight)},
     };
     return table;
 }
