Keep the place of runs that a new leader has given up

Cause: a new leader gives up the runs of a worker that it has never heard 5.3 s after its term began. The worker kills them when its lease expires, at the same time, and a stop takes up to a second; it lists neither. For a worker that is known, their place was kept for missingRunLimit, for an unknown one nothing was, and another run was started there. It is kept now until the worker reports.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -243,6 +243,7 @@
     void commitEnds(std::vector<run_end> ends, std::int64_t wallMs,
                     std::function<void(status)> done);
     void expireLeases(time_point now, std::int64_t wallMs);
+    void keepResidual(const std::string &worker, const assignment &run, time_point now);
     std::chrono::microseconds stallLimitOf(const tracked_run &run, const step_spec &spec) const;
     void findStalled(time_point now);
     void stopUnsentGangs(time_point now);
@@ -270,6 +271,8 @@
     std::uint64_t term_ = 0; // 0: not leading
     time_point termStart_ {};
     std::map<std::string, worker_state> workers_;
+    // By worker: runs given up before the worker was heard in this term. It may be stopping them.
+    std::map<std::string, std::map<run_key, residual_run>> unheardResidual_;
     std::map<std::string, std::string> byAddress_; // newest worker at each address
     std::set<std::string> cordonedMachines_;
     std::function<bool()> mayAct_ = [] { return true; };
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -66,6 +66,16 @@
     return since + leaveGracePeriod < now;
 }
 
+// The worker stops a run when the lease expires, and may be back before it has.
+void controller::keepResidual(const std::string &worker, const assignment &run, time_point now)
+{
+    const auto found = workers_.find(worker);
+    auto &residual = found != workers_.end() ? found->second.residual : unheardResidual_[worker];
+    residual[{run.task, run.run}]
+            = {state_.findJob(run.task.job)->spec.steps[run.task.step].charged(),
+               now + options_.missingRunLimit};
+}
+
 void controller::expireLeases(time_point now, std::int64_t wallMs)
 {
     const auto lease = milliseconds {
@@ -92,11 +102,8 @@
                 checkpoint = found->second.runs.at(task).checkpoint;
             ends.push_back({task, run.run, gone ? end_kind::Lost : end_kind::Lapsed, checkpoint});
             expired.push_back(run);
-            // The worker stops the run when the lease expires, and may be back before it has.
-            if (isKnown && !gone)
-                found->second.residual[{task, run.run}]
-                        = {state_.findJob(task.job)->spec.steps[task.step].charged(),
-                           now + options_.missingRunLimit};
+            if (!gone)
+                keepResidual(worker, run, now);
         }
         if (!expired.empty())
             losses.push_back(lossOf(worker, std::move(expired)));
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -63,6 +63,7 @@
     term_ = 0;
     alive_ = std::make_shared<int>(0);
     workers_.clear();
+    unheardResidual_.clear();
     byAddress_.clear();
     cordonedMachines_.clear();
     ordersDue_.clear();
@@ -185,6 +186,8 @@
         worker = {};
         worker.firstHeartbeat = now;
         worker.earlier = std::move(earlier);
+        if (auto unheard = unheardResidual_.extract(report.id))
+            worker.residual = std::move(unheard.mapped());
     } else if (report.draining && !worker.report.draining) {
         logEvent("worker.draining", {{"worker", report.id}, {"born", report.incarnation}});
     } else if (report.sequence == worker.report.sequence) {
