Claim no room over racks for a gang that waits for one rack

Cause: preemption claimed room over several racks for a gang with same_rack, which placement then didn't use as some rack could hold the gang. The claim was renewed every 2.5 s and kept the room from all others. Such a gang claims only within a rack now. Evidence: claimsOfAGangThatWaitsForOneRackDontStallAJob did not start within 30 s before; within 3 s now.

--- a/packages/batch/src/preemption.cc
+++ b/packages/batch/src/preemption.cc
@@ -196,6 +196,14 @@
     return best;
 }
 
+// Returns whether a gang would fit into some rack if nothing else were running there.
+bool scheduler::pass::someRackHolds(const unit &item) const
+{
+    const auto count = static_cast<std::int64_t>(item.indexes.size());
+    return std::ranges::any_of(
+            racks_, [&](const auto &rack) { return tasksInEmpty(item, rack.second) >= count; });
+}
+
 // Preempts the cheapest set of runs that frees enough resources for the unit, and claims these
 // resources. Returns false if there is no such set.
 bool scheduler::pass::preempt(const unit &item)
@@ -219,7 +227,8 @@
                 best = std::move(options);
         }
     }
-    if (best.empty())
+    // A gang that some rack could hold isn't placed anywhere else, so it claims nothing there.
+    if (best.empty() && !(item.inOneRack() && someRackHolds(item)))
         best = cheapestAnywhere(item);
     if (best.empty())
         return false;
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -87,6 +87,7 @@
     void scheduleUnit(unit &item);
     bool mayTryPreemption(const unit &item);
     void countWaiting(const unit &item);
+    bool hasWaited(const unit &item, milliseconds time) const;
     std::vector<slot> place(const unit &item) const;
     std::vector<slot> placeInRack(const unit &item, bool &possible) const;
     std::vector<std::size_t> candidates(const unit &item,
@@ -138,6 +139,7 @@
     // preemption.cc
     void collectVictims();
     bool preempt(const unit &item);
+    bool someRackHolds(const unit &item) const;
     std::vector<placement_option> cheapestAnywhere(const unit &item) const;
     bool mayPreempt(const unit &item, const victim &candidate) const;
     double lostSeconds(const assignment &run, const step_spec &spec) const;
