Measure waits on the leader's own clock too

Cause: preemption, racks for gangs and access to kept room counted from the time of day at which another machine accepted the job. With a clock 8 s behind, urgent work waited 8.9 s until other work was stopped for it. A wait counts now from when this leader has first seen the unit wait, where that is earlier. Evidence: reclaimDoesNotWaitForTheClockOfANewLeader failed before and passes now.

--- a/packages/batch/src/reserve.cc
+++ b/packages/batch/src/reserve.cc
@@ -71,7 +71,8 @@
     const auto pool = pools_.find(item.job->source.pool);
     const bool shared
             = item.spec->longRunning || pool == pools_.end() || !pool->second.mostlyInUse();
-    const bool waited = input_.wallMs >= item.job->acceptedMs + reserveAfterMs;
+    const bool waited = input_.wallMs >= item.job->acceptedMs + reserveAfterMs
+            || hasWaited(item, milliseconds {reserveAfterMs});
     return {item.job->source.priority == 0 || (shared && waited), shared && waited,
             item.waived.quarantine};
 }
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -174,8 +174,10 @@
 // Units for which preemption has failed are passed over until all others were tried.
 bool scheduler::pass::mayTryPreemption(const unit &item)
 {
-    if (item.job->source.priority != 0 || input_.wallMs < item.preemptFromMs
-        || memory_.failedPreemptions.contains(item.first))
+    // A job that another machine has accepted may be from later than this machine's time of day.
+    const bool isTime = input_.wallMs >= item.preemptFromMs
+            || hasWaited(item, milliseconds {item.patienceMs});
+    if (item.job->source.priority != 0 || !isTime || memory_.failedPreemptions.contains(item.first))
         return false;
     if (preemptions_ < maxPreemptions)
         return true;
@@ -192,6 +194,13 @@
         ++output_.urgentWaiting;
 }
 
+// Returns whether a unit has waited for a time in the passes of this leader.
+bool scheduler::pass::hasWaited(const unit &item, milliseconds time) const
+{
+    const auto found = memory_.waiting.find(item.first);
+    return found != memory_.waiting.end() && found->second + time <= input_.now;
+}
+
 bool scheduler::pass::isDominated(const unit &item) const
 {
     const auto need = item.spec->charged();
@@ -243,8 +252,7 @@
 {
     if (!item.retried() && !item.lastAttempt)
         return false;
-    const auto found = memory_.waiting.find(item.first);
-    if (found == memory_.waiting.end() || found->second + banLimit > input_.now)
+    if (!hasWaited(item, banLimit))
         return false;
     return accessOf(item).reservedRacks
             || tasksInEmpty(item, allWorkers_) < static_cast<std::int64_t>(item.indexes.size());
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -173,6 +173,7 @@
             base.preemptFromMs = preemptFromMs({due, base.latestStartMs,
                                                 finalDeadlineMs(job, occurrence) - toEnd[stepIndex],
                                                 guaranteed});
+            base.patienceMs = base.preemptFromMs - due;
             // Long-running tasks have value for as long as they run.
             base.pastFinalDeadline = !spec.longRunning && wallMs > finalDeadlineMs(job, occurrence);
             base.guaranteed = guaranteed;
