--- a/packages/batch/test/stall_watch-test.cc
+++ b/packages/batch/test/stall_watch-test.cc
@@ -92,6 +92,20 @@
     CHECK_EQUAL(3500, stalledMs("a"));
 }
 
+// Guards against a run that is taken for lost although it was only stopped or not started, and
+// against a lost one that isn't noticed.
+TEST(StallWatch, onlyALostRunIsALoss)
+{
+    submit("a");
+    start("a");
+    update();
+    CHECK_TRUE(stalls.isCalm(leader.now));
+    heard = leader.now;
+    leader.now += milliseconds {3000};
+    update();
+    CHECK_FALSE(stalls.isCalm(leader.now));
+}
+
 // Guards against jobs that count as stalled before the time that they name.
 TEST(StallWatch, aLaterOccurrenceIsNotStalled)
 {
