Keep a task under which several workers were lost apart, also if it stalls

Cause: jobs beside a task that crashes workers became suspects, stalled, got the waiver of isolation and shared a worker with the cause again, until they were given up.

--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -120,6 +120,7 @@
     std::optional<std::uint32_t> overdueIndex(const unit &item) const;
     bool mustStart(const unit &item) const;
     bool startsLater(const unit &item) const;
+    bool mayWaiveIsolation(const unit &item) const;
     std::vector<slot> placeStalled(const unit &item);
     void explain(const unit &item, wait_cause cause);
     wait_cause causeOf(const unit &item) const;
--- a/packages/batch/src/stalls.cc
+++ b/packages/batch/src/stalls.cc
@@ -62,6 +62,14 @@
     return item.startsLater && !(mustStart(item) && input_.stalls->isCalm(input_.now));
 }
 
+// Returns whether suspicion may not keep a stalled unit from room. Just after a loss, suspects would
+// take others with them. A task under which several workers were lost may be given up, so it may
+// also wait.
+bool scheduler::pass::mayWaiveIsolation(const unit &item) const
+{
+    return !item.isLikelyCause && input_.stalls->isCalm(input_.now);
+}
+
 // Places one task of a stalled job, or its gang, and waives no more preferences than that takes.
 std::vector<scheduler::pass::slot> scheduler::pass::placeStalled(const unit &item)
 {
@@ -69,13 +77,12 @@
     if (!item.placedTogether())
         relaxed.indexes = {overdueIndex(item).value_or(item.indexes.front())};
     auto anywhere = relaxed;
-    // Just after a loss, suspects would take others with them.
-    const bool calm = input_.stalls->isCalm(input_.now);
-    anywhere.waived = {true, true, calm, true, !item.inOneRack()};
+    const bool mayMix = mayWaiveIsolation(item);
+    anywhere.waived = {true, true, mayMix, true, !item.inOneRack()};
     if (isDominated(anywhere))
         return {};
     for (const auto &[cause, waived] : preferences) {
-        relaxed.waived.*waived = cause != wait_cause::KeptApart || calm;
+        relaxed.waived.*waived = cause != wait_cause::KeptApart || mayMix;
         // A gang that is spread over racks takes several times as long.
         if (cause == wait_cause::OneRack && !hasRoomTwice(item))
             break;
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -68,6 +68,7 @@
     item.suspected = true;
     item.keptApart |= isWithin(found->second,
                                item.spec->longRunning ? isolationWaitMs : separationWaitMs, wallMs);
+    item.isLikelyCause |= found->second.counted() >= isolationLosses;
     item.isolated |= found->second.counted() >= isolationLosses
             && isWithin(found->second, isolationWaitMs, wallMs);
     item.startsLater
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -36,6 +36,7 @@
     bool suspected = false; // a worker was lost under one of its tasks
     bool keptApart = false; // takes no worker with a suspect of another job
     bool isolated = false; // takes only workers that run nothing of other jobs
+    bool isLikelyCause = false; // several workers were lost under one of its tasks
     waivers waived;
     bool startsLater = false; // waits, so that it doesn't start together with other suspects
 
