Waive preferences for one run of a stalled job at a time

Cause: a job counted as stalled until a worker listed its run, so each pass started one more task of it on kept workers; and jobs whose tasks end before a heartbeat lists them never ceased to be stalled. A job isn't overdue now while one of its runs is active, and a reported end (done or failed) ends its stall.

--- a/packages/batch/include/batch/stall_watch.h
+++ b/packages/batch/include/batch/stall_watch.h
@@ -36,12 +36,16 @@
     std::chrono::microseconds stalledFor(const std::string &job, time_point now) const;
 
     // Returns whether a job has been stalled for so long that no preference may keep it from room.
+    // Not while an order for one of its runs is under way, or the run may still be alive.
     bool isOverdue(const std::string &job, time_point now) const;
 
     // Returns whether a task that lasts has been away for so long that no preference may keep it
     // from room.
     bool isOverdue(const task_id &task, time_point now) const;
 
+    // Ends the stall of a job, a run of which has worked and ended.
+    void recordWork(const std::string &job) { jobs_.erase(job); }
+
     // Records that a worker was lost, and when it was last heard of.
     void recordLoss(time_point lastHeard) { newestLoss_ = std::max(newestLoss_, lastHeard); }
 
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -335,6 +335,8 @@
               {"worker", worker.report.id},
               {"how", toName(row.kind)},
               {"outcome", "reported"}});
+    if (row.kind == end_kind::Done || row.kind == end_kind::Failed)
+        stalls_.recordWork(row.task.job);
     if (row.kind == end_kind::Done) {
         worker.failedJobs.clear();
         worker.lastDone = now;
--- a/packages/batch/src/stall_watch.cc
+++ b/packages/batch/src/stall_watch.cc
@@ -175,7 +175,8 @@
 bool stall_watch::isOverdue(const std::string &job, time_point now) const
 {
     const auto found = jobs_.find(job);
-    return found != jobs_.end() && now - found->second.job.since >= maxStall;
+    return found != jobs_.end() && !found->second.job.unheard
+            && now - found->second.job.since >= maxStall;
 }
 
 bool stall_watch::isOverdue(const task_id &task, time_point now) const
