Bound the placements of stalled jobs in a pass

A unit is tried once with all preferences waived, the others follow only where that finds room; at most 32 units are tried in a pass, in turn. Attempts at preemption were limited in the same way and use the same class now.

--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -123,13 +123,30 @@
         time_point createdAt {};
     };
 
+    // Attempts of a kind, limited in each pass. Units for which one has failed are passed over
+    // until all others were tried.
+    class attempts
+    {
+    public:
+        // Counts an attempt, or returns false if the unit has to wait for its turn.
+        bool mayTry(const task_id &unit, std::size_t limit);
+        void recordFailure(const task_id &unit) { failed_.insert(unit); }
+        void endPass();
+
+    private:
+        std::set<task_id> failed_;
+        std::size_t made_ = 0; // in this pass
+        bool deferred_ = false; // a unit was not tried because of the limit
+    };
+
     // What a pass needs to know of those before it.
     struct memory
     {
         std::map<task_id, claim> claims;
         std::map<std::string, urgent_reserve> reserves; // by pool
         std::map<task_id, time_point> waiting; // units without a place, and since when
-        std::set<task_id> failedPreemptions; // units to be tried after all others
+        attempts preemptions;
+        attempts stallAttempts;
     };
 
     class pass;
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -111,8 +111,8 @@
     for (auto &item : detail::collectUnits(input_, uses_))
         scheduleUnit(item);
     memory_.waiting = std::move(waiting_);
-    if (!preemptionDeferred_)
-        memory_.failedPreemptions.clear();
+    memory_.preemptions.endPass();
+    memory_.stallAttempts.endPass();
     return std::move(output_);
 }
 
@@ -159,30 +159,24 @@
     if (item.pastFinalDeadline && !item.guaranteed)
         return;
     if (mayTryPreemption(item)) {
-        ++preemptions_;
         if (preempt(item)) {
             applyClaim(claims_.at(item.first), 1);
             output_.waits.back().cause = wait_cause::Preempting;
             return;
         }
-        memory_.failedPreemptions.insert(item.first);
+        memory_.preemptions.recordFailure(item.first);
     }
     if (item.placedTogether())
         reserveRack(item);
 }
 
-// Units for which preemption has failed are passed over until all others were tried.
 bool scheduler::pass::mayTryPreemption(const unit &item)
 {
     // A job that another machine has accepted may be from later than this machine's time of day.
     const bool isTime = input_.wallMs >= item.preemptFromMs
             || hasWaited(item, milliseconds {item.patienceMs});
-    if (item.job->source.priority != 0 || !isTime || memory_.failedPreemptions.contains(item.first))
-        return false;
-    if (preemptions_ < maxPreemptions)
-        return true;
-    preemptionDeferred_ = true;
-    return false;
+    return item.job->source.priority == 0 && isTime
+            && memory_.preemptions.mayTry(item.first, maxPreemptions);
 }
 
 void scheduler::pass::countWaiting(const unit &item)
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -183,8 +183,6 @@
     std::vector<std::vector<std::size_t>> victimsOn_; // by worker
     std::vector<std::size_t> byVictimCost_; // workers, the cheapest to vacate first
     bool victimsReady_ = false;
-    std::size_t preemptions_ = 0;
-    bool preemptionDeferred_ = false; // a unit was not tried because of the limit
     schedule_output output_;
 };
 
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -21,6 +21,26 @@
     return names.at(static_cast<std::size_t>(cause));
 }
 
+bool scheduler::attempts::mayTry(const task_id &unit, std::size_t limit)
+{
+    if (failed_.contains(unit))
+        return false;
+    if (made_ == limit) {
+        deferred_ = true;
+        return false;
+    }
+    ++made_;
+    return true;
+}
+
+void scheduler::attempts::endPass()
+{
+    if (!deferred_)
+        failed_.clear();
+    made_ = 0;
+    deferred_ = false;
+}
+
 void scheduler::dropClaims(const schedule_input &input)
 {
     std::erase_if(memory_.claims, [&](const auto &item) {
--- a/packages/batch/src/stalls.cc
+++ b/packages/batch/src/stalls.cc
@@ -24,6 +24,10 @@
         {wait_cause::OneRack, &detail::waivers::oneRack},
 }};
 
+// Limits the stalled units that are tried in one pass. Units that can't differ from one that has
+// failed aren't counted.
+constexpr std::size_t maxStallAttempts = 32;
+
 std::int64_t percentInUse(std::int64_t available, std::int64_t capacity)
 {
     return capacity <= 0 ? 0 : 100 - available * 100 / capacity;
@@ -62,9 +66,9 @@
     return item.startsLater && !(mustStart(item) && input_.stalls->isCalm(input_.now));
 }
 
-// Returns whether suspicion may not keep a stalled unit from room. Just after a loss, suspects would
-// take others with them. A task under which several workers were lost may be given up, so it may
-// also wait.
+// Returns whether suspicion may not keep a stalled unit from room. Just after a loss, suspects
+// would take others with them. A task under which several workers were lost may be given up, so it
+// may also wait.
 bool scheduler::pass::mayWaiveIsolation(const unit &item) const
 {
     return !item.isLikelyCause && input_.stalls->isCalm(input_.now);
@@ -79,18 +83,26 @@
     auto anywhere = relaxed;
     const bool mayMix = mayWaiveIsolation(item);
     anywhere.waived = {true, true, mayMix, true, !item.inOneRack()};
-    if (isDominated(anywhere))
+    if (isDominated(anywhere) || !memory_.stallAttempts.mayTry(item.first, maxStallAttempts))
+        return {};
+    auto found = place(anywhere);
+    if (found.empty())
+        recordUnplaceable(anywhere);
+    // A gang that is spread over racks takes several times as long.
+    if (found.empty() && item.inOneRack() && hasRoomTwice(item)) {
+        anywhere.waived.oneRack = true;
+        return place(anywhere);
+    }
+    if (found.empty()) {
+        memory_.stallAttempts.recordFailure(item.first);
         return {};
+    }
     for (const auto &[cause, waived] : preferences) {
-        relaxed.waived.*waived = cause != wait_cause::KeptApart || mayMix;
-        // A gang that is spread over racks takes several times as long.
-        if (cause == wait_cause::OneRack && !hasRoomTwice(item))
-            break;
+        relaxed.waived.*waived = anywhere.waived.*waived;
         if (auto slots = place(relaxed); !slots.empty())
             return slots;
     }
-    recordUnplaceable(anywhere);
-    return {};
+    return found;
 }
 
 bool scheduler::pass::hasRoomTwice(const unit &item) const
