Ask for advice on all workers that a stalled job may use

Cause: advice was asked only for workers that a job may use with all preferences; a stalled job waives them, but had no ticket for the others. Evidence: quarantineDoesNotStallAJobThatNeedsAdvice started after 5.7 s before; within 3 s now.

--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -267,10 +267,13 @@
 {
     const auto need = item.spec->charged();
     const auto step = detail::stepKeyOf(item);
+    auto asked = item;
+    if (mustStart(item))
+        asked.waived = {true, true, true, true, true};
     std::vector<std::size_t> unasked;
     for (const auto worker : allWorkers_) {
         const auto &report = reportOf(worker);
-        if (isEligible(item, worker) && timesFitting(report.capacity, need) > 0
+        if (isEligible(asked, worker) && timesFitting(report.capacity, need) > 0
             && !input_.advice->isKnown(step, report.id, report.incarnation, input_.now))
             unasked.push_back(worker);
     }
