--- a/packages/batch/src/stall_watch.cc
+++ b/packages/batch/src/stall_watch.cc
@@ -8,16 +8,15 @@
 
 namespace {
 
-// Work starts within 3 s beside room that it may use, and within 7 s after a disturbance such as
-// the loss of its worker. The rest of that time is for a pass, the commit of the start and the way
-// of the order.
+// Work starts within 3 s beside room that it may use, and within 7 s after the loss of a worker.
+// The rest of that time is for a pass, the commit of the start and the way of the order.
 constexpr milliseconds maxStall {2000};
-constexpr milliseconds maxStallAfterLoss {6300};
+constexpr milliseconds calmAfterLoss {6300};
 
 // Tasks that last may be away for 6 s before their 3 s begin.
 constexpr milliseconds maxAbsence {8000};
 
-// A run that this leader never heard of was lost while there was no leader, for about this time.
+// From the loss of a leader to the term of the next one, about.
 constexpr milliseconds electionTime {1000};
 
 // A stall of this time is logged, and again after each such time. Work should start in 3 s.
@@ -93,14 +92,6 @@
     return survey;
 }
 
-// Returns whether a run has ended because its worker was lost. Runs that are stopped, or that were
-// never started, aren't listed any more either before the ledger records their ends.
-bool wasLost(const ledger &state, const assignment &run)
-{
-    const auto found = state.losses().find(run.task);
-    return found != state.losses().end() && found->second.runs.contains(run.run);
-}
-
 } // namespace
 
 // What was away when the term began may have been so for long.
@@ -108,7 +99,7 @@
                                              std::optional<time_point> heard, time_point now) const
 {
     if (!updated_)
-        return {now - electionTime, maxStallAfterLoss};
+        return {now - electionTime, calmAfterLoss};
     return {heard.value_or(now), task.run == 0 ? maxStall : maxAbsence};
 }
 
@@ -145,17 +136,14 @@
         const auto survey = surveyOf(job, lastHeard, now, wallMs);
         if (survey.working || (!survey.ready && !survey.unheard))
             return;
+        if (survey.lastHeard)
+            recordLoss(*survey.lastHeard);
         const auto known = jobs_.find(job.id);
         auto &item = stalled[job.id];
         if (known != jobs_.end())
             item = known->second;
-        else if (survey.unheard)
-            item.job.since = survey.lastHeard.value_or(now - electionTime);
         else
-            item.job.since = now;
-        if (item.job.unheard && item.job.unheard != survey.unheard)
-            item.wasLost |= wasLost(state, *item.job.unheard);
-        item.job.afterLoss = item.wasLost || survey.unheard;
+            item.job.since = survey.lastHeard.value_or(now);
         item.job.task = survey.ready ? *survey.ready : survey.unheard->task;
         item.job.unheard = survey.unheard;
     });
@@ -187,10 +175,7 @@
 bool stall_watch::isOverdue(const std::string &job, time_point now) const
 {
     const auto found = jobs_.find(job);
-    if (found == jobs_.end())
-        return false;
-    const auto limit = found->second.job.afterLoss ? maxStallAfterLoss : maxStall;
-    return now - found->second.job.since >= limit;
+    return found != jobs_.end() && now - found->second.job.since >= maxStall;
 }
 
 bool stall_watch::isOverdue(const task_id &task, time_point now) const
@@ -199,10 +184,14 @@
     return found != absences_.end() && now - found->second.since >= found->second.limit;
 }
 
-bool stall_watch::isAfterLoss(const std::string &job) const
+bool stall_watch::isCalm(time_point now) const
 {
-    const auto found = jobs_.find(job);
-    return found != jobs_.end() && found->second.job.afterLoss;
+    return now - newestLoss_ >= calmAfterLoss;
+}
+
+void stall_watch::clear()
+{
+    *this = {};
 }
 
 std::chrono::microseconds stall_watch::longest(time_point now) const
--- a/packages/batch/src/stalls.cc
+++ b/packages/batch/src/stalls.cc
@@ -56,13 +56,10 @@
             && input_.stalls->isOverdue(item.job->id, input_.now);
 }
 
-// Returns whether a unit has to wait so that it doesn't start together with other suspects. That
-// ends by itself, but after a loss that was known late it must not take its whole time.
+// Returns whether a unit has to wait so that it doesn't start together with other suspects.
 bool scheduler::pass::startsLater(const unit &item) const
 {
-    if (!item.startsLater || overdueIndex(item))
-        return false;
-    return !mustStart(item) || !input_.stalls->isAfterLoss(item.job->id);
+    return item.startsLater && !(mustStart(item) && input_.stalls->isCalm(input_.now));
 }
 
 // Places one task of a stalled job, or its gang, and waives no more preferences than that takes.
@@ -72,11 +69,13 @@
     if (!item.placedTogether())
         relaxed.indexes = {overdueIndex(item).value_or(item.indexes.front())};
     auto anywhere = relaxed;
-    anywhere.waived = {true, true, true, true, !item.inOneRack()};
+    // Just after a loss, suspects would take others with them.
+    const bool calm = input_.stalls->isCalm(input_.now);
+    anywhere.waived = {true, true, calm, true, !item.inOneRack()};
     if (isDominated(anywhere))
         return {};
     for (const auto &[cause, waived] : preferences) {
-        relaxed.waived.*waived = true;
+        relaxed.waived.*waived = cause != wait_cause::KeptApart || calm;
         // A gang that is spread over racks takes several times as long.
         if (cause == wait_cause::OneRack && !hasRoomTwice(item))
             break;
