Vary the stops and the heartbeats in the search for stalls

Change: the first number of a session also chooses 300 to 1400 ms for a stop and 0 to 800 ms between heartbeats, and workers follow the retry time of their orders.

--- a/packages/batch/test/leader_pair.h
+++ b/packages/batch/test/leader_pair.h
@@ -33,6 +33,10 @@
     // Sets the time that commits take from now on.
     void setCommitTime(std::int64_t ms) { commitMs_ = ms; }
 
+    // Sets the shortest time between two heartbeats of a worker that has no ends to report. It is
+    // long in large fleets.
+    void setHeartbeatPeriod(std::int64_t ms) { heartbeatMs_ = ms; }
+
     // Lets the next commits fail. Their outcome isn't known to the leader.
     void failCommits(int count, bool takeEffect)
     {
@@ -166,7 +170,8 @@
     // An answer that isn't ready at once is lost; the worker sends its next heartbeat soon.
     std::optional<worker_orders> exchange(const worker_report &report)
     {
-        if (!hasLeader_)
+        const bool due = fleet_.leader.wallMs >= nextHeartbeatMs_[report.id];
+        if (!hasLeader_ || (!due && report.ended.empty()))
             return std::nullopt;
         auto &item = nodes_.at(current_);
         auto sent = report;
@@ -179,6 +184,9 @@
                                });
         if (fleet_.leader.wallMs < answersLostUntilMs_)
             return std::nullopt;
+        if (*answer)
+            nextHeartbeatMs_[report.id]
+                    = fleet_.leader.wallMs + std::max(heartbeatMs_, (*answer)->retryMs);
         return *answer;
     }
 
@@ -189,6 +197,8 @@
     std::uint64_t term_ = 0;
     std::int64_t nextTermMs_ = 0;
     std::int64_t commitMs_ = 0;
+    std::int64_t heartbeatMs_ = 0;
+    std::map<std::string, std::int64_t> nextHeartbeatMs_; // by worker
     std::int64_t answersLostUntilMs_ = 0;
     int failures_ = 0;
     bool failedTakeEffect_ = false;
--- a/packages/batch/test/stall-fuzz-test.cc
+++ b/packages/batch/test/stall-fuzz-test.cc
@@ -17,7 +17,7 @@
     CHECK_TRUE(test::checkSeeded("no job stalls beside room", 25, [] {
         const auto [fill, actions] = *rc::gen::resize(
                 rc::kNominalSize,
-                rc::gen::pair(rc::gen::inRange(0, 15),
+                rc::gen::pair(rc::gen::inRange(0, 135),
                               rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4000))));
         stall_session session(fill);
         for (const auto action : actions)
--- a/packages/batch/test/stall_session.h
+++ b/packages/batch/test/stall_session.h
@@ -10,15 +10,21 @@
 class stall_session
 {
 public:
-    // Fills the fleet for 60 to 95 % with work that doesn't end.
+    // Fills the fleet for 60 to 95 % with work that doesn't end. The fleet, the duration of a stop
+    // and the period of heartbeats are chosen by a number, of which all below 135 differ.
     explicit stall_session(int fill)
-        : fleet_({.workers = places, .downMs = 2000, .taskMs = 0, .twoKinds = true})
+        : fleet_({.workers = places,
+                  .downMs = 2000,
+                  .taskMs = 0,
+                  .stopMs = 300 + fill / 15 % 3 * 550, // a stop takes less than missingRunLimit
+                  .twoKinds = true})
         , leaders_(fleet_)
     {
         configure();
         fleet_.failUnder([this](const task_id &task, int place) {
             return hopeless_.contains(task.job) || failsAt(place);
         });
+        leaders_.setHeartbeatPeriod(fill / 45 % 3 * 400);
         run(500);
         fillFleet(fill);
         run(1500);
