--- a/packages/batch/src/stalls.cc
+++ b/packages/batch/src/stalls.cc
@@ -24,9 +24,6 @@
         {wait_cause::OneRack, &detail::waivers::oneRack},
 }};
 
-// Of them, those that are waived for stalled jobs.
-constexpr std::size_t waivedCount = 1;
-
 std::int64_t percentInUse(std::int64_t available, std::int64_t capacity)
 {
     return capacity <= 0 ? 0 : 100 - available * 100 / capacity;
@@ -41,6 +38,13 @@
             && input_.stalls->isOverdue(item.job->id, input_.now);
 }
 
+// Returns whether a unit has to wait so that it doesn't start together with other suspects. That
+// ends by itself, but after a loss that was known late it must not take its whole time.
+bool scheduler::pass::startsLater(const unit &item) const
+{
+    return item.startsLater && !(mustStart(item) && input_.stalls->isAfterLoss(item.job->id));
+}
+
 // Places one task of a stalled job, or its gang, and waives no more preferences than that takes.
 std::vector<scheduler::pass::slot> scheduler::pass::placeStalled(const unit &item)
 {
@@ -48,12 +52,14 @@
     if (!item.placedTogether())
         relaxed.indexes.resize(1);
     auto anywhere = relaxed;
-    for (std::size_t i = 0; i < waivedCount; ++i)
-        anywhere.waived.*preferences[i].waived = true;
+    anywhere.waived = {true, true, true, true, !item.inOneRack()};
     if (isDominated(anywhere))
         return {};
-    for (std::size_t i = 0; i < waivedCount; ++i) {
-        relaxed.waived.*preferences[i].waived = true;
+    for (const auto &[cause, waived] : preferences) {
+        relaxed.waived.*waived = true;
+        // A gang that is spread over racks takes several times as long.
+        if (cause == wait_cause::OneRack && !hasRoomTwice(item))
+            break;
         if (auto slots = place(relaxed); !slots.empty())
             return slots;
     }
@@ -61,6 +67,11 @@
     return {};
 }
 
+bool scheduler::pass::hasRoomTwice(const unit &item) const
+{
+    return roomFor(item) >= 2 * static_cast<std::int64_t>(item.indexes.size());
+}
+
 void scheduler::pass::explain(const unit &item, wait_cause cause)
 {
     if (!input_.explain.contains(item.job->id))
