--- a/packages/system/test/soak-test.cc
+++ b/packages/system/test/soak-test.cc
@@ -75,11 +75,7 @@
         const auto begin = nowMs();
         while (!jobs.allEnded() && nowMs() < begin + drainMs)
             step();
-        printf("seed %u: %d jobs accepted, drained in %lld ms, longest stall %lld ms, longest step "
-               "%lld ms\n",
-               soakSeed(options_.seed), jobs.accepted(), static_cast<long long>(nowMs() - begin),
-               static_cast<long long>(jobs.check().longestStallMs()),
-               static_cast<long long>(longestStepMs_));
+        printDrain(nowMs() - begin);
         const auto findings = jobs.findings();
         if (!findings.empty())
             FAIL(findings.c_str());
@@ -99,6 +95,22 @@
     }
 
 private:
+    void printDrain(std::int64_t ms) const
+    {
+        int begun = 0;
+        int absences = 0;
+        for (const auto &source : faults) {
+            begun += source->begun();
+            absences += source->absences();
+        }
+        printf("seed %u: %d jobs accepted, %d faults, %d absences in calm times, drained in %lld "
+               "ms, "
+               "longest stall %lld ms, longest step %lld ms\n",
+               soakSeed(options_.seed), jobs.accepted(), begun, absences,
+               static_cast<long long>(ms), static_cast<long long>(jobs.check().longestStallMs()),
+               static_cast<long long>(longestStepMs_));
+    }
+
     void submit()
     {
         if (nowMs() < nextJobMs_)
--- a/packages/system/test/soak_faults.cc
+++ b/packages/system/test/soak_faults.cc
@@ -60,6 +60,7 @@
         kind = fault::Kill;
     if (kind == fault::Wipe)
         nextMs_ = nowMs() + wipeRestMs;
+    ++begun_;
     active_[victim]
             = {kind, kind == fault::KillForLong ? endless : nowMs() + random_.draw(0, 2500)};
     wasActive_ = true;
@@ -88,10 +89,12 @@
 {
     const auto active = active_;
     for (const auto &[victim, item] : active) {
-        if (item.kind == fault::KillForLong)
+        if (item.kind == fault::KillForLong) {
+            absences_ += item.untilMs == endless ? 1 : 0;
             active_[victim].untilMs = 0;
-        else
+        } else {
             end(victim, item.kind);
+        }
     }
     nextMs_ = std::max(nextMs_, nowMs());
 }
@@ -128,6 +131,7 @@
 void link_faults::begin()
 {
     nextMs_ = nowMs() + random_.draw(100, 900);
+    ++begun_;
     wasActive_ = true;
     const auto link
             = static_cast<std::size_t>(random_.draw(0, static_cast<int>(untilMs_.size()) - 1));
@@ -177,6 +181,7 @@
             random_.draw(0, static_cast<int>(fleet_.workers.size()) - 1));
     if (downUntilMs_.contains(victim))
         return;
+    ++begun_;
     fleet_.crash(fleet_.workers[victim], nowMs());
     downUntilMs_[victim] = random_.oneIn(4) ? endless : nowMs() + random_.draw(0, 3000);
     wasActive_ = true;
@@ -185,8 +190,10 @@
 void worker_faults::settle()
 {
     for (auto item = downUntilMs_.begin(); item != downUntilMs_.end();) {
-        if (item->second == endless)
+        if (item->second == endless) {
+            ++absences_;
             item->second = 0;
+        }
         if (item->second == 0) {
             ++item;
             continue;
--- a/packages/system/test/soak_faults.h
+++ b/packages/system/test/soak_faults.h
@@ -20,6 +20,14 @@
     // Returns whether a fault is active, or has begun or ended since the last call. Absence is
     // none.
     virtual bool wasActive() = 0;
+
+    // Returns how many faults have begun, and how many of them were absences past a storm.
+    int begun() const { return begun_; }
+    int absences() const { return absences_; }
+
+protected:
+    int begun_ = 0;
+    int absences_ = 0;
 };
 
 // Suspends, kills and ends schedulers, the leader more often than others, as long as most of them
--- a/packages/system/test/soak_jobs.h
+++ b/packages/system/test/soak_jobs.h
@@ -57,6 +57,7 @@
     std::string findings();
 
     stall_check &check() { return check_; }
+    const stall_check &check() const { return check_; }
     int accepted() const;
 
 private:
