--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -63,6 +63,7 @@
     term_ = 0;
     alive_ = std::make_shared<int>(0);
     workers_.clear();
+    unheardResidual_.clear();
     byAddress_.clear();
     cordonedMachines_.clear();
     ordersDue_.clear();
@@ -185,6 +186,8 @@
         worker = {};
         worker.firstHeartbeat = now;
         worker.earlier = std::move(earlier);
+        if (auto unheard = unheardResidual_.extract(report.id))
+            worker.residual = std::move(unheard.mapped());
     } else if (report.draining && !worker.report.draining) {
         logEvent("worker.draining", {{"worker", report.id}, {"born", report.incarnation}});
     } else if (report.sequence == worker.report.sequence) {
@@ -332,6 +335,8 @@
               {"worker", worker.report.id},
               {"how", toName(row.kind)},
               {"outcome", "reported"}});
+    if (row.kind == end_kind::Done || row.kind == end_kind::Failed)
+        stalls_.recordWork(row.task.job);
     if (row.kind == end_kind::Done) {
         worker.failedJobs.clear();
         worker.lastDone = now;
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -68,6 +68,7 @@
     item.suspected = true;
     item.keptApart |= isWithin(found->second,
                                item.spec->longRunning ? isolationWaitMs : separationWaitMs, wallMs);
+    item.isLikelyCause |= found->second.counted() >= isolationLosses;
     item.isolated |= found->second.counted() >= isolationLosses
             && isWithin(found->second, isolationWaitMs, wallMs);
     item.startsLater
@@ -173,6 +174,7 @@
             base.preemptFromMs = preemptFromMs({due, base.latestStartMs,
                                                 finalDeadlineMs(job, occurrence) - toEnd[stepIndex],
                                                 guaranteed});
+            base.patienceMs = base.preemptFromMs - due;
             // Long-running tasks have value for as long as they run.
             base.pastFinalDeadline = !spec.longRunning && wallMs > finalDeadlineMs(job, occurrence);
             base.guaranteed = guaranteed;
