--- a/packages/batch/src/stalls.cc
+++ b/packages/batch/src/stalls.cc
@@ -62,9 +62,9 @@
     return item.startsLater && !(mustStart(item) && input_.stalls->isCalm(input_.now));
 }
 
-// Returns whether suspicion may not keep a stalled unit from room. Just after a loss, suspects would
-// take others with them. A task under which several workers were lost may be given up, so it may
-// also wait.
+// Returns whether suspicion may not keep a stalled unit from room. Just after a loss, suspects
+// would take others with them. A task under which several workers were lost may be given up, so it
+// may also wait.
 bool scheduler::pass::mayWaiveIsolation(const unit &item) const
 {
     return !item.isLikelyCause && input_.stalls->isCalm(input_.now);
