--- a/packages/batch/test/stall-review-test.cc
+++ b/packages/batch/test/stall-review-test.cc
@@ -17,6 +17,26 @@
         return step;
     }
 
+    static std::vector<worker_report> twelveWorkers(leader_fixture & leader)
+    {
+        std::vector<worker_report> fleet;
+        for (int i = 0; i < 12; ++i) {
+            fleet.push_back(leader.report("w" + std::to_string(10 + i)));
+            fleet.back().address = "10.0.0.1:" + std::to_string(i);
+        }
+        return fleet;
+    }
+
+    // Sends a heartbeat of each worker, which lists what it is told to start from then on.
+    static void beatAll(leader_fixture & leader, std::vector<worker_report> & fleet)
+    {
+        for (auto &worker : fleet) {
+            const auto orders = leader.sendNextHeartbeat(worker);
+            for (const auto &order : orders.starts)
+                worker.running.push_back({order.task, order.run, "", 100, 0});
+        }
+    }
+
     static std::int64_t timeToStart(crash_fleet & fleet, const task_id &task, std::int64_t limitMs)
     {
         const auto before = fleet.startsOf(task);
@@ -58,18 +78,8 @@
     leader_fixture leader;
     leader.tenants = {};
     leader.configure(0);
-    std::vector<worker_report> fleet;
-    for (int i = 0; i < 12; ++i) {
-        fleet.push_back(leader.report("w" + std::to_string(10 + i)));
-        fleet.back().address = "10.0.0.1:" + std::to_string(i);
-    }
-    const auto beat = [&] {
-        for (auto &worker : fleet) {
-            const auto orders = leader.sendNextHeartbeat(worker);
-            for (const auto &order : orders.starts)
-                worker.running.push_back({order.task, order.run, "", 100, 0});
-        }
-    };
+    auto fleet = twelveWorkers(leader);
+    const auto beat = [&] { beatAll(leader, fleet); };
     beat();
     auto busy = lasting(8, 8);
     leader.submit("/q0/busy", busy);
@@ -316,18 +326,8 @@
 {
     leader_fixture leader;
     leader.configure(0);
-    std::vector<worker_report> fleet;
-    for (int i = 0; i < 12; ++i) {
-        fleet.push_back(leader.report("w" + std::to_string(10 + i)));
-        fleet.back().address = "10.0.0.1:" + std::to_string(i);
-    }
-    const auto beat = [&] {
-        for (auto &worker : fleet) {
-            const auto orders = leader.sendNextHeartbeat(worker);
-            for (const auto &order : orders.starts)
-                worker.running.push_back({order.task, order.run, "", 100, 0});
-        }
-    };
+    auto fleet = twelveWorkers(leader);
+    const auto beat = [&] { beatAll(leader, fleet); };
     beat();
     leader.submit("/q2/small", leader_fixture::tasks(1, 8));
     leader.advance(100);
