--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -120,6 +120,15 @@
     // Returns the state of the newest worker on each machine that has sent a heartbeat, by machine.
     std::map<std::string, machine_status> machineStatuses(time_point now) const;
 
+    // Workers of an availability zone that have not left, and their active runs.
+    struct zone_use
+    {
+        std::size_t workers = 0;
+        std::size_t runs = 0;
+    };
+
+    zone_use zoneUse(std::string_view zone) const;
+
     // Sets the machines whose workers get no new tasks.
     void cordonMachines(std::set<std::string> machines);
 
@@ -233,7 +242,7 @@
     bool isStartDue(const worker_state &worker, const assignment &run) const;
     void addStarts(const worker_state &worker, worker_orders &orders);
     std::optional<start_order> startOrderOf(const worker_state &worker, const assignment &run);
-    void withholdStart(const worker_state &worker, const assignment &run);
+    void withholdStart(const worker_state &worker, const assignment &run, std::string_view why);
     void addPaces(worker_state &worker, worker_orders &orders) const;
     void updatePace(worker_state &worker, time_point now) const;
     void recordOrderSent(const run_key &run);
--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "batch/evacuation.h"
 #include "batch/model.h"
 #include "consensus/state_machine.h"
 
@@ -115,7 +116,8 @@
 };
 
 using command = std::variant<no_op, set_configuration, accept_job, cancel_job, start_runs, end_runs,
-                             remove_ended_jobs, start_wave, set_upkeep_phase, record_losses>;
+                             remove_ended_jobs, start_wave, set_upkeep_phase, record_losses,
+                             set_evacuation>;
 
 struct task_state
 {
@@ -279,6 +281,11 @@
     // Returns the retained waves by id, including completed ones.
     const std::map<std::uint64_t, wave_record> &waves() const { return waves_; }
 
+    // Returns the evacuated availability zones.
+    const std::map<std::string, evacuation> &evacuations() const { return evacuations_; }
+
+    bool isEvacuated(const std::string &zone) const { return evacuations_.contains(zone); }
+
     std::size_t jobCount() const { return jobs_.size(); }
 
 private:
@@ -292,6 +299,7 @@
     void handle(const start_wave &input);
     void handle(const set_upkeep_phase &input);
     void handle(const record_losses &input);
+    void handle(const set_evacuation &input);
 
     void start(const assignment &run, std::int64_t wallMs);
     static void appendEvent(job_record &job, job_event event);
@@ -311,6 +319,7 @@
     std::map<std::string, job_record> jobs_;
     std::map<std::uint64_t, wave_record> waves_;
     std::map<task_id, loss_record> losses_;
+    std::map<std::string, evacuation> evacuations_; // by zone
     std::function<void(const ledger_event &)> observer_ = [](const ledger_event &) {};
 
     // Indexes derived from the jobs.
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -28,6 +28,8 @@
     bool trusted = true; // false: gets no task on its last attempt
     bool proven = false; // a run has succeeded there a moment ago and none has failed since
     bool schedulable = true; // false: gets no new tasks
+    bool evacuated = false; // not schedulable, because its availability zone is evacuated
+    bool cold = false; // slow, because it has started a moment ago
     bool quarantined = false; // gets new tasks only if nothing else is left for them
 };
 
@@ -67,6 +69,7 @@
     Quarantined, // room is left only on workers in quarantine
     OneRack, // room is left only in several racks
     Skipped, // there is room, but the unit was passed over for one with a smaller need
+    Evacuated, // room is left only in evacuated availability zones
 };
 
 std::string_view toName(wait_cause cause);
--- a/packages/batch/include/batch/service.h
+++ b/packages/batch/include/batch/service.h
@@ -55,6 +55,21 @@
     // or Timeout.
     void findWave(std::uint64_t id, callback<bool> done);
 
+    // Sets the availability zones that exist. While none are set, any zone can be evacuated.
+    void setZones(std::vector<std::string> zones) { zones_ = std::move(zones); }
+
+    // Evacuates an availability zone: no task is started on its workers any more, and what runs
+    // there goes on. Succeeds without effect if the zone is evacuated already. Fails with
+    // InvalidValue if no such zone is configured and no worker has reported it, or with
+    // OutcomeUnknown.
+    void evacuateZone(std::int64_t wallMs, const std::string &zone,
+                      std::function<void(status)> done);
+
+    // Takes an availability zone back. Succeeds without effect if it isn't evacuated. Fails like
+    // evacuateZone().
+    void restoreZone(std::int64_t wallMs, const std::string &zone,
+                     std::function<void(status)> done);
+
     // Describes the state of a job for operators: one line for the job and one for each step of
     // each occurrence. Fails with NotFound.
     result<std::string> explain(const std::string &id) const;
@@ -70,10 +85,13 @@
     result<route> resolve(const caller &from) const;
     const job_record *ownJob(const route &at) const;
     void afterBarrier(std::function<void(status)> done);
+    status checkZone(const std::string &zone) const;
+    void setEvacuation(set_evacuation value, std::function<void(status)> done);
 
     const ledger &state_;
     controller &workers_;
     propose_function propose_;
+    std::vector<std::string> zones_; // empty: not known
 };
 
 // Fails with InvalidTable if two queues share a host and a prefix or two tenants share a key.
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -42,6 +42,7 @@
     amount capacity;
     bool draining = false;
     std::optional<std::int64_t> remainingMs; // guaranteed time left while draining
+    std::int64_t warmupLeftMs = 0; // for which the worker stays slow after its start
     std::vector<running_task> running;
     std::vector<ended_task> ended;
 };
--- a/packages/batch/src/controller-orders.cc
+++ b/packages/batch/src/controller-orders.cc
@@ -266,8 +266,12 @@
         if (bytes >= maxStartBytes)
             break;
         const auto need = state_.findJob(run.task.job)->spec.steps[run.task.step].charged();
+        if (state_.isEvacuated(worker.report.zone)) {
+            withholdStart(worker, run, "evacuated");
+            continue;
+        }
         if (timesFitting(available, need) == 0) {
-            withholdStart(worker, run);
+            withholdStart(worker, run, "capacity");
             continue;
         }
         auto order = startOrderOf(worker, run);
@@ -315,7 +319,8 @@
 }
 
 // Gives up a run that was placed but no longer fits, so that it is placed elsewhere.
-void controller::withholdStart(const worker_state &worker, const assignment &run)
+void controller::withholdStart(const worker_state &worker, const assignment &run,
+                               std::string_view why)
 {
     requestStop(run.task, run.run, worker.report.id);
     logEvent("task.moved",
@@ -323,7 +328,7 @@
               {"task", nameOf(run.task)},
               {"run", run.run},
               {"worker", worker.report.id},
-              {"why", "capacity"},
+              {"why", why},
               {"accelerators", worker.report.capacity.accelerators}});
 }
 
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -213,7 +213,8 @@
 bool controller::isSchedulable(const worker_state &worker, time_point now) const
 {
     return worker.clockConfirmed && !isHeartbeatOverdue(worker, now) && !worker.report.draining
-            && !worker.leftAt && !cordonedMachines_.contains(worker.report.machine);
+            && !worker.leftAt && !cordonedMachines_.contains(worker.report.machine)
+            && !state_.isEvacuated(worker.report.zone);
 }
 
 std::vector<worker_view> controller::viewWorkers(time_point now) const
@@ -238,6 +239,8 @@
         view.trusted = worker.failedJobs.empty() && !isQuarantined;
         view.proven = view.trusted && worker.lastDone && *worker.lastDone + provenTime > now;
         view.schedulable = isSchedulable(worker, now);
+        view.evacuated = state_.isEvacuated(worker.report.zone);
+        view.cold = worker.report.warmupLeftMs > 0;
         view.quarantined = isQuarantined;
     }
     // If more than half of the workers are in quarantine, the cause is unlikely to be the workers,
--- a/packages/batch/src/ledger-codec.cc
+++ b/packages/batch/src/ledger-codec.cc
@@ -9,9 +9,10 @@
 namespace {
 
 constexpr std::uint8_t commandFormat = 1;
-constexpr std::uint8_t snapshotFormat = 3;
+constexpr std::uint8_t snapshotFormat = 4;
 
 // Formats that earlier versions have written.
+constexpr std::uint8_t snapshotFormatWithoutEvacuations = 3;
 constexpr std::uint8_t snapshotFormatWithoutLosses = 2;
 constexpr std::uint8_t snapshotFormatWithoutWaves = 1;
 
@@ -65,7 +66,10 @@
 
 consensus::byte_buffer ledger::snapshot() const
 {
-    return pack(snapshotFormat, configuration_, jobs_, waves_, losses_);
+    // Without evacuations, the snapshot can be read by processes of the earlier version.
+    if (evacuations_.empty())
+        return pack(snapshotFormatWithoutEvacuations, configuration_, jobs_, waves_, losses_);
+    return pack(snapshotFormat, configuration_, jobs_, waves_, losses_, evacuations_);
 }
 
 status ledger::restore(consensus::byte_view snapshot)
@@ -74,8 +78,12 @@
     std::map<std::string, job_record> readJobs;
     std::map<std::uint64_t, wave_record> readWaves;
     std::map<task_id, loss_record> readLosses;
-    auto read
-            = unpack(snapshot, snapshotFormat, readConfiguration, readJobs, readWaves, readLosses);
+    std::map<std::string, evacuation> readEvacuations;
+    auto read = unpack(snapshot, snapshotFormat, readConfiguration, readJobs, readWaves, readLosses,
+                       readEvacuations);
+    if (failed(read))
+        read = unpack(snapshot, snapshotFormatWithoutEvacuations, readConfiguration, readJobs,
+                      readWaves, readLosses);
     if (failed(read))
         read = unpack(snapshot, snapshotFormatWithoutLosses, readConfiguration, readJobs,
                       readWaves);
@@ -87,6 +95,7 @@
     jobs_ = std::move(readJobs);
     waves_ = std::move(readWaves);
     losses_ = std::move(readLosses);
+    evacuations_ = std::move(readEvacuations);
     rebuildIndexes();
     return std::monostate {};
 }
--- a/packages/batch/src/ledger.cc
+++ b/packages/batch/src/ledger.cc
@@ -282,6 +282,14 @@
         closeJob(job, job_state::Failed, wallMs);
 }
 
+void ledger::handle(const set_evacuation &input)
+{
+    if (input.evacuated)
+        evacuations_.try_emplace(input.zone, evacuation {input.wallMs});
+    else
+        evacuations_.erase(input.zone);
+}
+
 void ledger::handle(const record_losses &input)
 {
     for (const auto &lost : input.runs)
--- a/packages/batch/src/report_codec.cc
+++ b/packages/batch/src/report_codec.cc
@@ -6,6 +6,7 @@
 #include <cereal/archives/binary.hpp>
 #include <cereal/types/optional.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 namespace persimmon::batch {
@@ -103,7 +104,11 @@
 
 std::string encodeReports(const report_batch &batch)
 {
-    return pack([&](auto &archive) { archive(batch.reports, batch.forwarder, batch.zone); });
+    std::vector<std::int64_t> warmups;
+    for (const auto &report : batch.reports)
+        warmups.push_back(report.warmupLeftMs);
+    return pack(
+            [&](auto &archive) { archive(batch.reports, batch.forwarder, batch.zone, warmups); });
 }
 
 std::string encodeAnswers(const batch_answers &answers)
@@ -120,6 +125,12 @@
         archive(batch.reports);
         if (!archive.atEnd())
             archive(batch.forwarder, batch.zone);
+        // Nodes of the earlier version send no warm-up times.
+        std::vector<std::int64_t> warmups;
+        if (!archive.atEnd())
+            archive(warmups);
+        for (std::size_t i = 0; i < std::min(warmups.size(), batch.reports.size()); ++i)
+            batch.reports[i].warmupLeftMs = warmups[i];
     });
 }
 
--- a/packages/batch/src/reserve.cc
+++ b/packages/batch/src/reserve.cc
@@ -29,6 +29,8 @@
 void scheduler::pass::collectPools()
 {
     for (std::size_t i = 0; i < input_.workers.size(); ++i) {
+        if (input_.workers[i].evacuated)
+            continue;
         auto &pool = pools_[reportOf(i).pool];
         pool.capacity += reportOf(i).capacity;
         pool.available += available_[i];
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -216,20 +216,24 @@
                                  accessOf(item)});
 }
 
+// Returns whether a worker is in the pool of a unit and has the label that it requires.
+bool scheduler::pass::suits(const unit &item, const worker_report &report)
+{
+    const auto &label = item.spec->requiredLabel;
+    return report.pool == item.job->source.pool
+            && (label.empty() || std::ranges::find(report.labels, label) != report.labels.end());
+}
+
 bool scheduler::pass::isEligible(const unit &item, std::size_t worker) const
 {
     const auto &view = input_.workers[worker];
-    const auto &report = *view.report;
-    if (!view.schedulable || report.pool != item.job->source.pool)
+    if (!view.schedulable || !suits(item, *view.report))
         return false;
     if (view.quarantined && !item.waived.quarantine)
         return false;
     if (!item.waived.failures && isBanned(item, worker))
         return false;
-    if (!mayShare(item, worker))
-        return false;
-    return item.spec->requiredLabel.empty()
-            || std::ranges::find(report.labels, item.spec->requiredLabel) != report.labels.end();
+    return mayShare(item, worker);
 }
 
 // Returns whether failures speak against a worker for a unit.
@@ -317,8 +321,9 @@
         // A worker that is lost under a suspected task takes fewer others with it.
         const auto others = item.suspected ? runCount(worker) : 0;
         return std::tuple(isKeptForOthers(worker), unproven, notPreferred, others,
-                          workers[worker].penalty, heartbeatRank(item, worker),
-                          available_[worker].accelerators, idle, available_[worker].cpu);
+                          workers[worker].penalty, workers[worker].cold,
+                          heartbeatRank(item, worker), available_[worker].accelerators, idle,
+                          available_[worker].cpu);
     });
     keepReserve(item, found);
     return found;
@@ -356,15 +361,15 @@
 }
 
 // Places a gang in a single rack. Prefers, in this order, the preferred rack, workers without
-// failures or with an early heartbeat, and the rack with the fewest free accelerators. Sets
-// `possible` if the gang would fit into an idle rack.
+// failures, warm ones or those with an early heartbeat, and the rack with the fewest free
+// accelerators. Sets `possible` if the gang would fit into an idle rack.
 std::vector<scheduler::pass::slot> scheduler::pass::placeInRack(const unit &item,
                                                                 bool &possible) const
 {
     const auto &workers = input_.workers;
     const auto need = item.spec->charged();
     std::vector<slot> best;
-    std::tuple<bool, int, std::int64_t, std::int64_t> bestScore;
+    std::tuple<bool, int, bool, std::int64_t, std::int64_t> bestScore;
     for (const auto &[rack, members] : racks_) {
         std::int64_t freeTasks = 0;
         std::int64_t freeAccelerators = 0;
@@ -384,14 +389,16 @@
         if (slots.empty())
             continue;
         int penalty = 0;
+        bool cold = false;
         std::int64_t rank = 0;
         for (const auto &place : slots) {
             penalty = std::max(penalty, workers[place.worker].penalty);
+            cold = cold || workers[place.worker].cold;
             rank = std::max(rank, heartbeatRank(item, place.worker));
         }
         const bool notPreferred
                 = !item.spec->preferredRack.empty() && rack != item.spec->preferredRack;
-        const auto score = std::tuple(notPreferred, penalty, rank, freeAccelerators);
+        const auto score = std::tuple(notPreferred, penalty, cold, rank, freeAccelerators);
         if (best.empty() || score < bestScore) {
             best = std::move(slots);
             bestScore = score;
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -95,6 +95,7 @@
     std::vector<slot> fillWorkers(const unit &item, const std::vector<std::size_t> &from) const;
     void take(std::size_t worker, const amount &resources);
     std::int64_t heartbeatRank(const unit &item, std::size_t worker) const;
+    static bool suits(const unit &item, const worker_report &report);
     bool isEligible(const unit &item, std::size_t worker) const;
     void collectSuspects();
     bool hasWorkedForLong(const task_id &task) const;
@@ -124,6 +125,7 @@
     std::vector<slot> placeStalled(const unit &item);
     void explain(const unit &item, wait_cause cause);
     wait_cause causeOf(const unit &item) const;
+    bool fitsEvacuated(const unit &item) const;
     std::int64_t roomFor(const unit &item) const;
     bool hasRoomTwice(const unit &item) const;
 
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -2,7 +2,9 @@
 
 #include "scheduler-pass.h"
 
+#include <algorithm>
 #include <array>
+#include <string_view>
 
 namespace persimmon::batch {
 
@@ -15,9 +17,9 @@
 
 std::string_view toName(wait_cause cause)
 {
-    static constexpr std::array<std::string_view, 10> names {
-            "no_room",      "preempting", "no_advice",   "suspected", "kept_room",
-            "failed_there", "kept_apart", "quarantined", "one_rack",  "skipped"};
+    static constexpr std::array<std::string_view, 11> names {
+            "no_room",    "preempting",  "no_advice", "suspected", "kept_room", "failed_there",
+            "kept_apart", "quarantined", "one_rack",  "skipped",   "evacuated"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
@@ -43,10 +45,17 @@
 
 void scheduler::dropClaims(const schedule_input &input)
 {
+    std::set<std::string_view> evacuated;
+    for (const auto &view : input.workers) {
+        if (view.evacuated)
+            evacuated.insert(view.report->id);
+    }
+    const auto isLost = [&evacuated](const auto &item) { return evacuated.contains(item.first); };
     std::erase_if(memory_.claims, [&](const auto &item) {
         const auto *job = input.state->findJob(item.first.job);
         return job == nullptr || job->ended() || item.second.createdAt + claimLimit < input.now
-                || job->taskOf(item.first).active;
+                || job->taskOf(item.first).active
+                || std::ranges::any_of(item.second.resources, isLost);
     });
 }
 
--- a/packages/batch/src/serialize.h
+++ b/packages/batch/src/serialize.h
@@ -140,6 +140,18 @@
     archive(value.runs, value.wallMs);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, set_evacuation &value)
+{
+    archive(value.zone, value.evacuated, value.wallMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, evacuation &value)
+{
+    archive(value.sinceMs);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, loss_record::entry &value)
 {
--- a/packages/batch/src/service.cc
+++ b/packages/batch/src/service.cc
@@ -305,6 +305,53 @@
     });
 }
 
+status service::checkZone(const std::string &zone) const
+{
+    const bool isKnown = zones_.empty() || std::ranges::find(zones_, zone) != zones_.end()
+            || state_.isEvacuated(zone) || workers_.zoneUse(zone).workers > 0;
+    if (isKnown && !failed(checkJobId(zone)))
+        return std::monostate {};
+    return error {result_code::InvalidValue, "no such availability zone", "zone", {}};
+}
+
+void service::evacuateZone(std::int64_t wallMs, const std::string &zone,
+                           std::function<void(status)> done)
+{
+    setEvacuation({zone, true, wallMs}, std::move(done));
+}
+
+void service::restoreZone(std::int64_t wallMs, const std::string &zone,
+                          std::function<void(status)> done)
+{
+    setEvacuation({zone, false, wallMs}, std::move(done));
+}
+
+// Repeated orders are committed again, so that each of them is acknowledged by a quorum.
+void service::setEvacuation(set_evacuation value, std::function<void(status)> done)
+{
+    const std::string_view action = value.evacuated ? "evacuate" : "restore";
+    if (auto checked = checkZone(value.zone); failed(checked)) {
+        logEvent("zone.refused",
+                 {{"zone", value.zone}, {"action", action}, {"outcome", errorOf(checked).detail}});
+        return done(checked);
+    }
+    const auto use = workers_.zoneUse(value.zone);
+    logEvent("zone.proposed",
+             {{"zone", value.zone},
+              {"action", action},
+              {"evacuated", state_.isEvacuated(value.zone) ? 1 : 0},
+              {"workers", use.workers},
+              {"runs", use.runs}});
+    propose_(value, [this, value, action, done = std::move(done)](const status &committed) {
+        logEvent("zone.set",
+                 {{"zone", value.zone},
+                  {"action", action},
+                  {"outcome", failed(committed) ? describe(errorOf(committed).code).name : "ok"}});
+        workers_.requestPass();
+        done(failed(committed) ? status {commitError(errorOf(committed))} : committed);
+    });
+}
+
 void service::afterBarrier(std::function<void(status)> done)
 {
     propose_(no_op {}, std::move(done));
--- a/packages/batch/src/stalls.cc
+++ b/packages/batch/src/stalls.cc
@@ -137,7 +137,16 @@
         if (!place(relaxed).empty())
             return cause;
     }
-    return wait_cause::NoRoom;
+    return fitsEvacuated(item) ? wait_cause::Evacuated : wait_cause::NoRoom;
+}
+
+// Returns whether a task of a unit would fit on a worker of an evacuated availability zone.
+bool scheduler::pass::fitsEvacuated(const unit &item) const
+{
+    return std::ranges::any_of(allWorkers_, [&](std::size_t worker) {
+        return input_.workers[worker].evacuated && suits(item, reportOf(worker))
+                && timesFitting(available_[worker], item.spec->charged()) > 0;
+    });
 }
 
 // Returns how many tasks of the size of a unit's fit beside all that runs, on any worker of its
