--- a/packages/system/test/batch_system.h
+++ b/packages/system/test/batch_system.h
@@ -140,6 +140,13 @@
         });
     }
 
+    std::string schedulerAddress(int number) const { return scheduler(number); }
+    std::string schedulerPeerAddress(int number) const { return portOf(ip(number), 2); }
+    std::string schedulerMetricsAddress(int number) const { return portOf(ip(number), 3); }
+    std::string gatewayAddress() const { return gateway(); }
+    std::string gatewayReadyAddress() const { return portOf("127.0.32.9", 1); }
+    std::string gatewayMetricsAddress() const { return portOf("127.0.32.9", 3); }
+
     process &schedulerProcess(int number) { return processes_.at(number); }
 
     http_response sendToGateway(const std::string &method, const std::string &path,
@@ -249,6 +256,10 @@
     }
 
     static std::string ip(int number) { return "127.0.32." + std::to_string(number + 1); }
+    std::string portOf(const std::string &host, int offset) const
+    {
+        return host + ":" + std::to_string(port_ + offset);
+    }
     std::string scheduler(int number) const { return ip(number) + ":" + std::to_string(port_); }
     std::string linkTo(int number) const
     {
--- a/packages/system/test/process.cc
+++ b/packages/system/test/process.cc
@@ -90,13 +90,32 @@
     return -1;
 }
 
+bool process::isAlive() const
+{
+    siginfo_t info {};
+    return pid_ > 0
+            && waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) == 0
+            && info.si_pid == 0;
+}
+
 std::uint64_t process::residentKb() const
+{
+    return memoryFigure("VmRSS:");
+}
+
+std::uint64_t process::peakResidentKb() const
+{
+    return memoryFigure("VmHWM:");
+}
+
+// Returns a figure of /proc/PID/status in KiB, or zero after the end of the process.
+std::uint64_t process::memoryFigure(std::string_view name) const
 {
     std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
     std::string line;
     while (std::getline(file, line)) {
-        if (line.starts_with("VmRSS:"))
-            return std::stoull(line.substr(6));
+        if (line.starts_with(name))
+            return std::stoull(line.substr(name.size()));
     }
     return 0;
 }
--- a/packages/system/test/process.h
+++ b/packages/system/test/process.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 #include <vector>
 
@@ -20,6 +21,11 @@
     process &operator=(process &&other) noexcept;
 
     bool running() const { return pid_ > 0; }
+    pid_t id() const { return pid_; }
+
+    // Returns whether the process has not ended.
+    bool isAlive() const;
+
     void sendSignal(int number) const;
 
     // Lets all writes beyond a file size fail from now on, as if the disk were full, or lifts the
@@ -36,7 +42,12 @@
     // Returns the resident memory in KiB.
     std::uint64_t residentKb() const;
 
+    // Returns the peak of the resident memory in KiB.
+    std::uint64_t peakResidentKb() const;
+
 private:
+    std::uint64_t memoryFigure(std::string_view name) const;
+
     pid_t pid_ = 0;
 };
 
