Send warm-up times only if a worker is cold

Cause: HeldReports olderMessagesAreUnderstood and refusesEveryCutOrAlteredMessage failed: batches of reports always had a third part. Change: it is appended only if a worker is cold; a test forwards such a time.

--- a/packages/batch/src/report_codec.cc
+++ b/packages/batch/src/report_codec.cc
@@ -102,13 +102,18 @@
 
 } // namespace
 
+// Warm-up times are sent only if there are any, as nodes of the earlier version do.
 std::string encodeReports(const report_batch &batch)
 {
     std::vector<std::int64_t> warmups;
     for (const auto &report : batch.reports)
         warmups.push_back(report.warmupLeftMs);
-    return pack(
-            [&](auto &archive) { archive(batch.reports, batch.forwarder, batch.zone, warmups); });
+    const bool isAnyCold = std::ranges::any_of(warmups, [](std::int64_t left) { return left > 0; });
+    return pack([&](auto &archive) {
+        archive(batch.reports, batch.forwarder, batch.zone);
+        if (isAnyCold)
+            archive(warmups);
+    });
 }
 
 std::string encodeAnswers(const batch_answers &answers)
@@ -125,7 +130,6 @@
         archive(batch.reports);
         if (!archive.atEnd())
             archive(batch.forwarder, batch.zone);
-        // Nodes of the earlier version send no warm-up times.
         std::vector<std::int64_t> warmups;
         if (!archive.atEnd())
             archive(warmups);
--- a/packages/batch/test/report_router-test.cc
+++ b/packages/batch/test/report_router-test.cc
@@ -394,3 +394,17 @@
         detail::decodeReports(altered); // may be valid; must not throw or allocate without bounds
     }
 }
+
+// Guards against a warm-up time that a forwarding node drops, or that a cut message leaves half
+// read.
+TEST(HeldReports, warmupTimesAreForwarded)
+{
+    auto cold = leader.report("w1");
+    cold.warmupLeftMs = 700;
+    const auto bytes = detail::encodeReports({{cold, leader.report("w2")}, "node:1", "zone-1"});
+    const auto read = detail::decodeReports(bytes);
+    CHECK_FALSE(failed(read));
+    CHECK_EQUAL(700, valueOf(read).reports[0].warmupLeftMs);
+    CHECK_EQUAL(0, valueOf(read).reports[1].warmupLeftMs);
+    CHECK_TRUE(failed(detail::decodeReports(bytes.substr(0, bytes.size() - 1))));
+}
