Serve HTTP with a listener that bounds what each client can hold

A request reader holds no more than the limits of a request; a table of all clients of a process decides which connections are closed when there are too many, or when unfinished requests hold too much memory.

--- a/packages/base/include/base/result.h
+++ b/packages/base/include/base/result.h
@@ -26,6 +26,7 @@
     KeyReused = 1011,
     AmbiguousFraming = 1012,
     HostRequired = 1013,
+    RequestTimeout = 1014,
     Overloaded = 2001,
     QuotaExceeded = 2002,
     ShapeImpossible = 2003,
--- a/packages/base/src/result.cc
+++ b/packages/base/src/result.cc
@@ -35,6 +35,8 @@
                           "the body length is ambiguous"},
         result_code_info {HostRequired, "host_required", 400, 2, false,
                           "the request has no Host field"},
+        result_code_info {RequestTimeout, "request_timeout", 408, 10, true,
+                          "the request did not arrive in time"},
         result_code_info {Overloaded, "overloaded", 503, 10, true, "queues are full"},
         result_code_info {QuotaExceeded, "quota_exceeded", 429, 10, true,
                           "the workspace is over its quota"},
--- a/packages/http/include/http/server.h
+++ b/packages/http/include/http/server.h
@@ -52,13 +52,25 @@
 // process is created; later calls have no effect.
 void startThreads(std::size_t count);
 
+// Limits for the clients of all listeners of a process together.
+struct client_limits
+{
+    // Connections that may be open; 0: three quarters of the descriptors that the process may open.
+    std::size_t maxConnections = 0;
+    // Memory that unfinished requests and responses may hold, in bytes. Beyond it, requests that
+    // have been arriving for longest are refused.
+    std::uint64_t maxHeldBytes = std::uint64_t {32} * 1024 * 1024;
+};
+
 struct server_options
 {
     std::string address; // IP:port
     std::size_t threads = 4;
     std::uint64_t maxHeaderBytes = 16384;
     std::uint64_t maxBodyBytes = 1048576;
-    milliseconds timeout {30000}; // for receiving one request
+    milliseconds timeout {30000}; // for receiving one request, and for sending one response
+    milliseconds idleTimeout {120000}; // between two requests of a connection
+    client_limits clients; // those of the first listener of a process hold
     std::vector<header> refusalHeaders; // added to refusals by the listener itself
 };
 
--- /dev/null
+++ b/packages/http/src/client_registry.cc
@@ -0,0 +1,87 @@
+#include "client_registry.h"
+
+#include "base/log.h"
+
+#include <boost/asio/strand.hpp>
+#include <pplx/threadpool.h>
+
+#include <algorithm>
+#include <sys/resource.h>
+
+namespace persimmon::http {
+
+namespace {
+
+// Descriptors that a process needs beside its clients: files, peers, upstreams.
+constexpr std::size_t ownDescriptorsDivisor = 4;
+constexpr std::size_t maxDefaultClients = 8192;
+
+std::size_t maxClientsOf(const client_limits &limits)
+{
+    if (limits.maxConnections > 0)
+        return limits.maxConnections;
+    rlimit descriptors {};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0)
+        return maxDefaultClients;
+    const auto available = static_cast<std::size_t>(descriptors.rlim_cur);
+    return std::min(available - available / ownDescriptorsDivisor, maxDefaultClients);
+}
+
+} // namespace
+
+client_registry &client_registry::instance(const client_limits &limits)
+{
+    // Never destroyed: the library's threads may use it until the process ends.
+    static auto *registry = new client_registry(limits);
+    return *registry;
+}
+
+client_registry::client_registry(const client_limits &limits)
+    : strand_(boost::asio::make_strand(crossplat::threadpool::shared_instance().service()))
+    , table_({maxClientsOf(limits), limits.maxHeldBytes})
+{
+}
+
+void client_registry::add(client_id id, const std::shared_ptr<connection> &item)
+{
+    connections_[id] = item;
+    close(table_.add(id, now()));
+}
+
+void client_registry::remove(client_id id)
+{
+    table_.remove(id);
+    connections_.erase(id);
+}
+
+void client_registry::setPhase(client_id id, client_phase phase)
+{
+    table_.setPhase(id, phase, now());
+}
+
+void client_registry::setHeldBytes(client_id id, std::uint64_t bytes)
+{
+    close(table_.setHeldBytes(id, bytes));
+}
+
+time_point client_registry::now()
+{
+    return std::chrono::time_point_cast<time_point::duration>(std::chrono::steady_clock::now());
+}
+
+std::shared_ptr<connection> client_registry::find(client_id id) const
+{
+    const auto found = connections_.find(id);
+    return found == connections_.end() ? nullptr : found->second;
+}
+
+// The connections that are chosen may be the one that is calling.
+void client_registry::close(const std::vector<client_id> &chosen)
+{
+    for (const auto id : chosen) {
+        if (const auto item = find(id))
+            item->refuse({result_code::Overloaded, "too many unfinished requests", {}, {}});
+    }
+}
+
+} // namespace persimmon::http
