Use a worker again soon after its clock has stood still

A worker whose machine was suspended has a clock that is behind for good. Each of its heartbeats looked as if it had been in transit for the time of the suspension and was refused, until the allowance for drift (2.5 % of the time since the last one that was taken) had grown as large; by calculation that takes over a minute for 3 s.

What tells such a worker from one behind a slow link is causality: without an answer, a worker sends its next heartbeat a second later, so one that comes sooner by its own clock was sent after the answer to the one before, and is no older than the arrival of that one. A series of such heartbeats that has lasted for over a second resets the offset of the clock.

Ruled out: a larger allowance, or taking any steady offset; both take heartbeats that a partition has held up or that a link delays.

ControllerLiveness ignoresHeartbeatsThatWereHeldUpTogether and ignoresHeartbeatsThatAreAllDelayed guard the other side.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -167,6 +167,15 @@
         time_point until {}; // a stop ends before
     };
 
+    // Successive heartbeats that were refused because they seemed to be delayed in transit.
+    struct refused_series
+    {
+        time_point since {}; // arrival of the first one
+        time_point newest {}; // arrival of the newest one
+        std::uint64_t sequence = 0; // of the newest one
+        std::int64_t clockMs = 0; // of the newest one
+    };
+
     // Incarnation of a worker that was followed by a newer one.
     struct earlier_incarnation
     {
@@ -196,6 +205,7 @@
         pacer pace;
         bool paceReduced = false; // a pace below 100 % was ordered
         std::optional<held_answer> held; // of the newest heartbeat
+        std::optional<refused_series> refused; // since the newest heartbeat
     };
 
     bool isAvailable(const task_id &task) const;
@@ -203,11 +213,13 @@
     bool isHeartbeatOverdue(const worker_state &worker, time_point now) const;
     bool isSchedulable(const worker_state &worker, time_point now) const;
     bool isStale(const worker_state &worker, const worker_report &report) const;
-    std::optional<worker_orders> refuse(const worker_report &report, time_point now) const;
+    std::optional<worker_orders> refuse(const worker_report &report, time_point now);
     worker_state &recordHeartbeat(time_point now, std::int64_t wallMs, const worker_report &report);
     void resetTermState();
     bool isFromBeforeDeparture(const worker_state &worker, const worker_report &report) const;
     bool isLate(const worker_state &worker, const worker_report &report, time_point now) const;
+    static bool hasAnsweredRefusals(worker_state &worker, const worker_report &report,
+                                    time_point now);
     void updateClockOffset(worker_state &worker, time_point now, std::int64_t wallMs,
                            bool first) const;
     void updateAddress(const worker_report &report, time_point now, std::int64_t wallMs);
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -19,6 +19,10 @@
 // A heartbeat that was in transit for longer than this is ignored: its answer would come too late.
 constexpr std::int64_t maxTransitMs = 1000;
 
+// A worker that gets no answer to a heartbeat sends the next one a second later. One that comes
+// sooner, by a clock that may be slow, was sent after an answer to the one before.
+constexpr std::int64_t maxAnsweredGapMs = 900;
+
 // From the loss of a leader to the term of the next one, about.
 constexpr milliseconds electionTime {1000};
 
@@ -106,14 +110,15 @@
 
 // Returns an answer without a lease for a heartbeat that is older than the newest one or was
 // delayed in transit.
-std::optional<worker_orders> controller::refuse(const worker_report &report, time_point now) const
+std::optional<worker_orders> controller::refuse(const worker_report &report, time_point now)
 {
     const auto found = workers_.find(report.id);
     if (found == workers_.end())
         return std::nullopt;
     const bool stale
             = isStale(found->second, report) || isFromBeforeDeparture(found->second, report);
-    if (!stale && !isLate(found->second, report, now))
+    if (!stale
+        && (!isLate(found->second, report, now) || hasAnsweredRefusals(found->second, report, now)))
         return std::nullopt;
     logEvent(stale ? "worker.stale_heartbeat" : "worker.late_heartbeat",
              {{"worker", report.id}, {"born", report.incarnation}, {"sequence", report.sequence}});
@@ -207,6 +212,7 @@
     worker.leftAt.reset();
     worker.replaced = false;
     worker.held.reset();
+    worker.refused.reset();
     updateRunning(worker, now, silence);
     updateResidual(worker, now);
     updatePace(worker, now);
@@ -227,6 +233,29 @@
     return offset > worker.clockOffsetMs + drift + maxTransitMs;
 }
 
+// Returns whether a worker whose heartbeats seem to be late follows the answers to them, and takes
+// its clock as it is then: it has stood still while the machine was suspended. A heartbeat that
+// follows the answer to the one before is no older than the arrival of that one. As an answer may
+// come from elsewhere once, it takes a series of them for longer than a delay that matters.
+bool controller::hasAnsweredRefusals(worker_state &worker, const worker_report &report,
+                                     time_point now)
+{
+    constexpr milliseconds maxTransit {maxTransitMs};
+    auto &series = worker.refused;
+    if (series && report.sequence <= series->sequence)
+        return false;
+    const bool follows = series && report.clockMs - series->clockMs <= maxAnsweredGapMs
+            && now - series->newest <= maxTransit;
+    const auto since = follows ? series->since : now;
+    series = {since, now, report.sequence, report.clockMs};
+    if (now - since <= maxTransit)
+        return false;
+    worker.clockOffsetMs = millisecondsOf(now.time_since_epoch()) - report.clockMs;
+    logEvent("worker.clock_stood_still",
+             {{"worker", report.id}, {"born", report.incarnation}, {"sequence", report.sequence}});
+    return true;
+}
+
 // The first heartbeat of an incarnation can't be compared with an earlier one. The worker's clock
 // is confirmed if the age of that heartbeat by wall-clock time is small, otherwise by the next
 // heartbeat.
--- a/packages/batch/test/controller-liveness-test.cc
+++ b/packages/batch/test/controller-liveness-test.cc
@@ -172,6 +172,42 @@
     CHECK_EQUAL(0, leader.state.runsOn("w1").size());
 }
 
+// Guards against taking heartbeats that a partition has held up, and that arrive all at once, for
+// those of a worker whose clock has stood still.
+TEST(ControllerLiveness, ignoresHeartbeatsThatWereHeldUpTogether)
+{
+    leader.configure(1);
+    auto held = leader.report("w1");
+    held.incarnation = leader.wallMs - 5000;
+    held.clockMs = 5000;
+    leader.sendHeartbeat(held);
+    leader.advance(4000);
+    for (int i = 0; i < 12; ++i) {
+        held.sequence = ++leader.sequence;
+        held.clockMs += 200;
+        CHECK_EQUAL(0, leader.sendHeartbeat(held).leaseMs);
+        leader.advance(50);
+    }
+}
+
+// Guards against the same for a link that delays each heartbeat: the worker gets no answer in time
+// and sends one each second.
+TEST(ControllerLiveness, ignoresHeartbeatsThatAreAllDelayed)
+{
+    leader.configure(1);
+    auto delayed = leader.report("w1");
+    delayed.incarnation = leader.wallMs - 5000;
+    delayed.clockMs = 5000;
+    leader.sendHeartbeat(delayed);
+    leader.advance(3000);
+    for (int i = 0; i < 12; ++i) {
+        leader.advance(1000);
+        delayed.sequence = ++leader.sequence;
+        delayed.clockMs += 1000;
+        CHECK_EQUAL(0, leader.sendHeartbeat(delayed).leaseMs);
+    }
+}
+
 // Guards against a new leader that places tasks on a worker after a single delayed heartbeat: only
 // the next heartbeat shows that the worker is running.
 TEST(ControllerLiveness, newLeaderWaitsForHeartbeatAfterDelayedOne)
