Tell for whom runs are stopped and how much work is thrown away

Change: the scheduler returns a preemption with its beneficiary and the work that has to be done again; the leader logs and counts it by cause and priorities. Decisions are unchanged.

--- a/packages/apps/include/apps/batch_metrics.h
+++ b/packages/apps/include/apps/batch_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "batch/discarded_work.h"
 #include "batch/latency_stage.h"
 #include "batch/ledger.h"
 
@@ -41,6 +42,9 @@
     // Records the duration of a stage between the acceptance of a job and its first run.
     void observeStage(batch::latency_stage stage, std::chrono::microseconds duration);
 
+    // Records work that has to be done again.
+    void observeDiscarded(const batch::discarded_work &work);
+
     std::string serialize(const scheduler_gauges &gauges);
 
 private:
--- a/packages/apps/src/batch_metrics.cc
+++ b/packages/apps/src/batch_metrics.cc
@@ -78,6 +78,17 @@
                 .Observe(std::chrono::duration<double>(duration).count());
     }
 
+    void observeDiscarded(const batch::discarded_work &work)
+    {
+        const auto &beneficiary = work.beneficiaryPriority;
+        const prometheus::Labels labels {
+                {"cause", std::string(toName(work.cause))},
+                {"priority", std::to_string(work.priority)},
+                {"for_priority", beneficiary ? std::to_string(*beneficiary) : "none"}};
+        discardedRunsTotal_.Add(labels).Increment();
+        discardedCoreSeconds_.Add(labels).Increment(work.coreSeconds);
+    }
+
     std::string serialize(const scheduler_gauges &gauges)
     {
         const auto setGauge = [this](const char *what, double value) {
@@ -129,6 +140,13 @@
             registry_, prometheus::BuildHistogram(), "persimmon_stage_seconds",
             "Stages from the acceptance of a job to the report of its first run, answers "
             "to heartbeats and scheduling passes");
+    prometheus::Family<prometheus::Counter> &discardedRunsTotal_
+            = familyOf(registry_, prometheus::BuildCounter(), "persimmon_discarded_runs_total",
+                       "Runs that ended early, by cause, priority of their job and of the job that "
+                       "starts instead");
+    prometheus::Family<prometheus::Counter> &discardedCoreSeconds_ = familyOf(
+            registry_, prometheus::BuildCounter(), "persimmon_discarded_core_seconds_total",
+            "Work of these runs that has to be done again (an accelerator counts as 8 cores)");
     prometheus::Family<prometheus::Gauge> &schedulerState_
             = familyOf(registry_, prometheus::BuildGauge(), "persimmon_scheduler_state",
                        "Leadership (1: leads), term, committed entries, version of the "
@@ -157,6 +175,11 @@
     implementation_->observeStage(stage, duration);
 }
 
+void batch_metrics::observeDiscarded(const batch::discarded_work &work)
+{
+    implementation_->observeDiscarded(work);
+}
+
 std::string batch_metrics::serialize(const scheduler_gauges &gauges)
 {
     return implementation_->serialize(gauges);
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -84,6 +84,9 @@
     // Sets the function that receives the durations of the stages that this class observes.
     void onLatency(latency_observer observer) { observeLatency_ = std::move(observer); }
 
+    // Sets the function that is told of work that has to be done again.
+    void onDiscardedWork(discard_observer observer) { observeDiscarded_ = std::move(observer); }
+
     // Handles a heartbeat. The callback runs after the reported ends are committed. Fails with
     // NotLeader or with the error of the commit. Orders with a `holdMs` may be held for that time;
     // orders that become ready meanwhile replace them. A heartbeat that is repeated, because its
@@ -149,6 +152,7 @@
         time_point lastProgress {}; // when the percentage last changed
         std::uint32_t percent = 0;
         std::string checkpoint;
+        time_point saved {}; // when the checkpoint last changed, or the first report
     };
 
     struct held_answer
@@ -270,6 +274,9 @@
     void removeGoneWorkers(time_point now);
     std::optional<run_progress> progressOf(const assignment &run) const;
     std::vector<worker_view> viewWorkers(time_point now) const;
+    static run_forecast forecastOf(const tracked_run &run, const step_spec &spec, time_point now);
+    void recordPreemption(const preemption &item);
+    void recordDiscarded(discard_cause cause, const assignment &run) const;
 
     const ledger &state_;
     controller_options options_;
@@ -308,6 +315,7 @@
     time_point nextPass_ {};
     std::int64_t lastCleanupMs_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    discard_observer observeDiscarded_ = [](const discarded_work &) {};
 };
 
 } // namespace persimmon::batch
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "batch/advice.h"
+#include "batch/discarded_work.h"
 #include "batch/ledger.h"
 #include "batch/stall_watch.h"
 #include "batch/urgent_reserve.h"
@@ -38,6 +39,11 @@
 {
     time_point started {}; // when this leader first received a report of the run
     std::uint32_t percent = 0;
+    time_point saved {}; // when this leader received the newest checkpoint, or `started`
+    // Expected time until the end by the observed speed; nothing while there is no progress.
+    std::optional<milliseconds> remaining;
+
+    work_times times() const { return {started, saved}; }
 };
 
 // Returns the progress of a run, or nothing if its worker hasn't reported it.
@@ -96,10 +102,18 @@
     std::int64_t inUsePercent = 0; // of the pool, by the resource that is used most
 };
 
+// A run that is stopped so that other work can start.
+struct preemption
+{
+    assignment run;
+    task_id beneficiary; // first task of the unit that starts in its place
+    double lostCoreSeconds = 0; // work that has to be done again
+};
+
 struct schedule_output
 {
     std::vector<assignment> starts;
-    std::vector<assignment> preemptions; // runs to be stopped
+    std::vector<preemption> preemptions;
     std::size_t waiting = 0; // units that were not placed completely
     std::size_t urgentWaiting = 0; // of them, units of priority 0
     std::vector<unit_wait> waits;
--- a/packages/batch/src/controller-orders.cc
+++ b/packages/batch/src/controller-orders.cc
@@ -149,11 +149,7 @@
             return milliseconds {0};
         if (spec.longRunning)
             continue;
-        remaining.push_back(expectedRemaining(
-                {tracked.firstPercent, tracked.percent,
-                 std::chrono::duration_cast<milliseconds>(tracked.lastProgress - tracked.started),
-                 std::chrono::duration_cast<milliseconds>(now_ - tracked.lastProgress),
-                 milliseconds {spec.estimateMs}}));
+        remaining.push_back(expectedRemaining(forecastOf(tracked, spec, now_)));
     }
     auto limits = options_.hold;
     limits.longest = std::min(limits.longest, options_.lease / holdsInLease);
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -102,6 +102,7 @@
                 checkpoint = found->second.runs.at(task).checkpoint;
             ends.push_back({task, run.run, gone ? end_kind::Lost : end_kind::Lapsed, checkpoint});
             expired.push_back(run);
+            recordDiscarded(discard_cause::WorkerLost, run);
             if (!gone)
                 keepResidual(worker, run, now);
         }
@@ -156,6 +157,8 @@
             if (!requestStop(task, tracked.run, id))
                 continue;
             worker.quarantinedUntil = now + options_.quarantine;
+            recordDiscarded(discard_cause::Stalled,
+                            {task, tracked.run, id, worker.report.incarnation});
             logEvent("task.moved",
                      {{"job", task.job},
                       {"step", task.step},
@@ -262,7 +265,13 @@
     const auto tracked = worker->second.runs.find(run.task);
     if (tracked == worker->second.runs.end() || tracked->second.run != run.run)
         return std::nullopt;
-    return run_progress {tracked->second.started, tracked->second.percent};
+    const auto &known = tracked->second;
+    run_progress progress {known.started, known.percent, known.saved, std::nullopt};
+    const auto *job = state_.findJob(run.task.job);
+    if (job != nullptr && known.percent > known.firstPercent)
+        progress.remaining
+                = expectedRemaining(forecastOf(known, job->spec.steps[run.task.step], now_));
+    return progress;
 }
 
 // Returns when a worker last listed a run in this term.
@@ -345,15 +354,8 @@
     });
     logStalls(stalls, output.stallCauses, now);
     requestMissingAdvice(now, std::move(output.advice));
-    for (const auto &run : output.preemptions) {
-        requestStop(run.task, run.run, run.worker);
-        logEvent("task.preempted",
-                 {{"job", run.task.job},
-                  {"step", run.task.step},
-                  {"index", run.task.index},
-                  {"run", run.run},
-                  {"worker", run.worker}});
-    }
+    for (const auto &item : output.preemptions)
+        recordPreemption(item);
     const auto hasEnded = [this](const run_key &key) {
         const auto *job = state_.findJob(key.first.job);
         return job == nullptr || !job->taskOf(key.first).active
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -294,7 +294,7 @@
         if (earlier != worker.runs.end() && earlier->second.run == row.run)
             tracked = earlier->second;
         else {
-            tracked = {row.run, now, row.percent, now, row.percent, {}};
+            tracked = {row.run, now, row.percent, now, row.percent, row.checkpoint, now};
             recordReported({row.task, row.run});
         }
         if (silence > maxHeartbeatGap)
@@ -303,8 +303,10 @@
             tracked.percent = row.percent;
             tracked.lastProgress = now;
         }
-        if (!row.checkpoint.empty())
+        if (!row.checkpoint.empty() && tracked.checkpoint != row.checkpoint) {
             tracked.checkpoint = row.checkpoint;
+            tracked.saved = now;
+        }
     }
     worker.runs = std::move(updated);
 }
--- a/packages/batch/src/preemption.cc
+++ b/packages/batch/src/preemption.cc
@@ -61,7 +61,9 @@
             const bool worthless = !spec.longRunning
                     && input_.wallMs > detail::finalDeadlineMs(job, task.occurrence);
             // Work that is too late to have value is stopped first.
-            auto stopCostSeconds = worthless ? 0 : lostSeconds(run, spec);
+            const auto lost = lostSeconds(run, spec);
+            item.lostCoreSeconds.push_back(lostCoreSeconds(run, spec));
+            auto stopCostSeconds = worthless ? 0 : lost;
             if (lastResort)
                 stopCostSeconds = lastResortPenaltySeconds;
             item.cost += coreSeconds(spec.need, stopCostSeconds + stopPenaltySeconds);
@@ -92,6 +94,16 @@
                                : worked;
 }
 
+// Returns the core seconds of work that have to be done again if a run is stopped.
+double scheduler::pass::lostCoreSeconds(const assignment &run, const step_spec &spec) const
+{
+    const auto progress = input_.progress(run);
+    if (!progress)
+        return 0;
+    const auto lost = lostByStop(progress->times(), spec, input_.now);
+    return coreSeconds(spec.need, std::chrono::duration<double>(lost).count());
+}
+
 // Returns whether a task runs at 100 % and isn't being stopped.
 bool scheduler::pass::isAvailable(const task_id &task) const
 {
@@ -240,8 +252,9 @@
             auto &chosen = victims_[victimIndex];
             if (std::exchange(chosen.selected, true))
                 continue;
-            for (const auto &run : chosen.runs) {
-                output_.preemptions.push_back(run);
+            for (std::size_t i = 0; i < chosen.runs.size(); ++i) {
+                const auto &run = chosen.runs[i];
+                output_.preemptions.push_back({run, item.first, chosen.lostCoreSeconds[i]});
                 if (chosen.borrower != nullptr)
                     uses_.at(*chosen.borrower).running -= chosen.need.accelerators;
                 beingFreed_[workerIndexes_.at(run.worker)] += chosen.need;
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -27,6 +27,7 @@
     struct victim
     {
         std::vector<assignment> runs;
+        std::vector<double> lostCoreSeconds; // of each run, if it is stopped
         amount need; // of one run
         double cost = 0; // core seconds lost, plus a penalty for each stop
         const std::string *borrower = nullptr; // tenant of urgent work; nullptr: not urgent
@@ -147,6 +148,7 @@
     std::vector<placement_option> cheapestAnywhere(const unit &item) const;
     bool mayPreempt(const unit &item, const victim &candidate) const;
     double lostSeconds(const assignment &run, const step_spec &spec) const;
+    double lostCoreSeconds(const assignment &run, const step_spec &spec) const;
     bool isAvailable(const task_id &task) const;
     std::vector<placement_option> placementOptions(const unit &item, std::size_t worker) const;
     std::vector<placement_option> cheapestPlacement(const unit &item,
