Don't let chance excuse a task that crashes its workers again

Each second excuse rested on evidence that was none: - A new leader knows neither when a worker that it has not heard was lost nor how old its runs were. It took the start of its term for the first, so that losses at any time before came together, and 0 for the second, which made the tasks seem to have started apart. - A worker that was lost twice within the window counted as two workers. - A task that was started again and crashed a second worker within the window of its first loss was excused together with itself, and its two runs differed in age.

Change: losses from before the term are compared only with each other, and their ages are unknown; among losses that may share a cause, a worker and a task count once. What is left to chance (an excuse may still be wrong) is bounded by the leader: with the fifth loss of a task of which three count, silence counts as a crash, so the ledger gives it up by its rule of three confirmed losses. The ledger's own rule stays, so that old and new schedulers agree.

Ruled out: a limit for all excuses (a zone that loses power six times must not give up its jobs, Crashes jobsOfALostZoneAreDone), and a changed rule in the ledger, which would let replicas of two versions disagree.

LossAttribution: three of the five new tests fail with the comparisons switched off; the other two are for the new bound.

--- a/packages/batch/include/batch/loss_attribution.h
+++ b/packages/batch/include/batch/loss_attribution.h
@@ -46,4 +46,11 @@
     std::multimap<std::string, entry> recent_; // by worker
 };
 
+// Confirms the suspicions against each task that is lost once more, was excused for some losses,
+// and has reached the number of starts after which a task that crashes its workers must be given
+// up: from then on, a worker that is silent counts as crashed. `losses` are those recorded so far;
+// confirmations are added to `runs`.
+void confirmLastSuspicions(const std::map<task_id, loss_record> &losses,
+                           std::vector<lost_run> &runs);
+
 } // namespace persimmon::batch
--- a/packages/batch/include/batch/worker_loss.h
+++ b/packages/batch/include/batch/worker_loss.h
@@ -28,7 +28,8 @@
     std::string worker;
     std::int64_t incarnation = 0;
     loss_evidence evidence = loss_evidence::Silent;
-    time_point lastHeartbeat {};
+    time_point lastHeartbeat {}; // or when the term began, if `heard` is false
+    bool heard = true; // this incarnation has reported to this leader
     std::vector<assignment> runs;
     std::vector<assignment> suspects; // of them, those that may have crashed the worker
     std::size_t unreportedRuns = 0; // of them, those that the worker had not reported as running
--- a/packages/batch/src/controller-losses.cc
+++ b/packages/batch/src/controller-losses.cc
@@ -33,6 +33,7 @@
     loss.worker = worker;
     loss.incarnation = runs.front().incarnation;
     loss.lastHeartbeat = termStart_;
+    loss.heard = false;
     loss.runs = std::move(runs);
     const auto *reported = &none;
     if (const auto found = workers_.find(worker); found != workers_.end()) {
@@ -41,10 +42,12 @@
         bool leaving = cordonedMachines_.contains(state.report.machine);
         if (restarted && state.earlier) {
             loss.lastHeartbeat = state.earlier->lastHeartbeat;
+            loss.heard = true;
             reported = &state.earlier->runs;
             leaving |= state.earlier->leaving;
         } else if (!restarted) {
             loss.lastHeartbeat = state.lastHeartbeat;
+            loss.heard = true;
             reported = &state.runs;
             leaving |= state.report.draining || (state.leftAt && !state.replaced);
         }
@@ -81,12 +84,12 @@
     }
 }
 
-// Returns for how long a lost run was working. Nothing is known of it if its worker has not
-// reported to this leader.
+// Returns for how long a lost run was working. Nothing is known of it if this incarnation of its
+// worker has not reported to this leader.
 std::optional<milliseconds> controller::ageOf(const assignment &run, const worker_loss &loss,
                                               const std::map<task_id, tracked_run> &reported) const
 {
-    if (!workers_.contains(loss.worker))
+    if (!loss.heard)
         return std::nullopt;
     const auto tracked = reported.find(run.task);
     if (tracked == reported.end() || tracked->second.run != run.run)
@@ -165,6 +168,7 @@
 {
     if (runs.empty())
         return;
+    confirmLastSuspicions(state_.losses(), runs);
     const record_losses value {runs, wallMs};
     propose_(value,
              [this, runs = std::move(runs), done = std::move(done),
--- a/packages/batch/src/loss_attribution.cc
+++ b/packages/batch/src/loss_attribution.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace persimmon::batch {
@@ -20,12 +22,33 @@
 // for each worker. As many show a common cause well enough.
 constexpr std::size_t maxCompared = 64;
 
+// Losses of a task, with those that were excused, after which it isn't started again if most of
+// them count.
+constexpr std::size_t maxLosses = 5;
+
+// Of them, those that count.
+constexpr std::uint32_t minCountedOfMaxLosses = 3;
+
 // Time after which a loss can't be confirmed or excused any more.
 constexpr std::chrono::minutes retention {1};
 
+// Workers that have not reported in this term were lost before or as it began, at an unknown time.
 bool isTogether(const worker_loss &left, const worker_loss &right)
 {
-    return std::chrono::abs(left.lastHeartbeat - right.lastHeartbeat) <= togetherWindow;
+    return left.heard == right.heard
+            && std::chrono::abs(left.lastHeartbeat - right.lastHeartbeat) <= togetherWindow;
+}
+
+// Returns whether two losses can't have been one event: a worker was lost twice, or a task was
+// started again between them.
+bool isSequence(const worker_loss &left, const worker_loss &right)
+{
+    return left.worker == right.worker
+            || std::ranges::any_of(left.suspects, [&right](const assignment &run) {
+                   return std::ranges::any_of(right.suspects, [&run](const assignment &other) {
+                       return other.task == run.task;
+                   });
+               });
 }
 
 // Returns whether one job had runs on all of the workers.
@@ -66,6 +89,22 @@
     return shortest && *longest - *shortest > togetherWindow;
 }
 
+// Returns what is known of a task after some more of its losses were recorded.
+loss_record recordAfter(const std::map<task_id, loss_record> &losses, const task_id &task,
+                        std::span<const lost_run> runs)
+{
+    const auto known = losses.find(task);
+    auto record = known == losses.end() ? loss_record {} : known->second;
+    for (const auto &lost : runs) {
+        if (lost.task != task)
+            continue;
+        auto &entry = record.runs.try_emplace(lost.run, loss_record::entry {lost.kind, lost.alone})
+                              .first->second;
+        entry.kind = std::max(entry.kind, lost.kind);
+    }
+    return record;
+}
+
 void append(const worker_loss &loss, run_loss kind, std::vector<lost_run> &runs)
 {
     const bool alone = std::ranges::all_of(loss.suspects, [&](const assignment &run) {
@@ -119,22 +158,35 @@
     });
 }
 
-// Returns losses within the window around a known loss, including it.
+// Returns losses that may have the cause of a known loss, including it. A worker that was lost
+// twice and a task that was started again between two losses count once.
 std::vector<const worker_loss *> loss_attribution::lostTogether(
         const worker_loss &loss, std::span<const worker_loss> silent) const
 {
     std::vector<const worker_loss *> together {&loss};
+    std::set<std::string_view> workers {loss.worker};
+    std::set<task_id> suspects;
+    for (const auto &run : loss.suspects)
+        suspects.insert(run.task);
+    const auto isSuspect = [&](const assignment &run) { return suspects.contains(run.task); };
+    const auto add = [&](const worker_loss &other) {
+        if (!isTogether(other, loss) || std::ranges::any_of(other.suspects, isSuspect)
+            || !workers.insert(other.worker).second)
+            return;
+        for (const auto &run : other.suspects)
+            suspects.insert(run.task);
+        together.push_back(&other);
+    };
     for (const auto &[worker, other] : recent_) {
         if (together.size() >= maxCompared)
             return together;
-        if (&other.loss != &loss && isTogether(other.loss, loss))
-            together.push_back(&other.loss);
+        add(other.loss);
     }
     for (const auto &other : silent) {
         if (together.size() >= maxCompared)
             return together;
-        if (isTogether(other, loss) && !isKnown(other.worker, other.incarnation))
-            together.push_back(&other);
+        if (!isKnown(other.worker, other.incarnation))
+            add(other);
     }
     return together;
 }
@@ -145,7 +197,9 @@
                               std::vector<lost_run> &runs)
 {
     for (auto &[worker, other] : recent_) {
-        if (isTogether(other.loss, loss) && (hasEvidence || !other.loss.wasExcused)
+        const bool mayShareCause = &other.loss == &loss
+                || (isTogether(other.loss, loss) && !isSequence(other.loss, loss));
+        if (mayShareCause && (hasEvidence || !other.loss.wasExcused)
             && !std::exchange(other.excused, true))
             append(other.loss, run_loss::Excused, runs);
     }
@@ -190,4 +244,21 @@
                   [now](const auto &item) { return item.second.foundAt + retention < now; });
 }
 
+void confirmLastSuspicions(const std::map<task_id, loss_record> &losses,
+                           std::vector<lost_run> &runs)
+{
+    std::set<task_id> tasks;
+    for (const auto &lost : runs)
+        tasks.insert(lost.task);
+    for (const auto &task : tasks) {
+        const auto record = recordAfter(losses, task, runs);
+        if (record.runs.size() < maxLosses || record.counted() < minCountedOfMaxLosses)
+            continue;
+        for (const auto &[run, entry] : record.runs) {
+            if (entry.kind == run_loss::Suspected)
+                runs.push_back({task, run, run_loss::Crashed, entry.alone});
+        }
+    }
+}
+
 } // namespace persimmon::batch
--- a/packages/batch/test/loss_attribution-test.cc
+++ b/packages/batch/test/loss_attribution-test.cc
@@ -175,3 +175,60 @@
     CHECK_EQUAL(2, runs.size());
     CHECK_FALSE(runs.front().alone || runs.back().alone);
 }
+
+// Guards against a worker that crashes twice within the time in which losses count as one.
+TEST(LossAttribution, countsEachWorkerOnceAmongThoseLostTogether)
+{
+    auto again = lossOf("w1", "b", false);
+    again.incarnation = 2000;
+    const std::vector<worker_loss> losses {lossOf("w1", "a", false), again,
+                                           lossOf("w2", "c", false)};
+    CHECK_EQUAL(3, countOf(attribution.add(losses, {}, now), run_loss::Crashed));
+}
+
+// Guards against a task that crashes two workers one after the other within that time, and is
+// excused because its runs were of different ages.
+TEST(LossAttribution, blamesATaskThatWasStartedAgainBetweenTwoLosses)
+{
+    auto losses = threeRepeatedLosses();
+    losses[1].suspects.front().task = losses[0].suspects.front().task;
+    losses[1].runs = losses[1].suspects;
+    losses[2].suspectAge = milliseconds {5000};
+    CHECK_EQUAL(3, countOf(attribution.add(losses, {}, now), run_loss::Crashed));
+}
+
+// Guards against taking losses at unknown times, found by a new leader, for losses at one time.
+TEST(LossAttribution, keepsLossesFromBeforeTheTermApart)
+{
+    auto losses = threeLosses(false, false);
+    losses.front().heard = false;
+    CHECK_EQUAL(3, countOf(attribution.add(losses, {}, now), run_loss::Crashed));
+}
+
+// Guards against a task that is started a sixth time, because chance has excused two of its losses
+// and the workers of others are silent.
+TEST(LossAttribution, confirmsSuspicionsAgainstATaskThatWasExcusedTwice)
+{
+    const task_id task {"a", 0, 0, 0};
+    std::map<task_id, loss_record> losses;
+    losses[task].runs = {{1, {run_loss::Excused, false}},
+                         {2, {run_loss::Excused, false}},
+                         {3, {run_loss::Crashed, true}},
+                         {4, {run_loss::Suspected, true}}};
+    std::vector<lost_run> runs {{task, 5, run_loss::Suspected, true}};
+    confirmLastSuspicions(losses, runs);
+    CHECK_EQUAL(2, countOf(runs, run_loss::Crashed));
+}
+
+// Guards against giving up a task whose workers were mostly lost to a common cause.
+TEST(LossAttribution, confirmsNoSuspicionWhereMostLossesAreExcused)
+{
+    const task_id task {"a", 0, 0, 0};
+    std::map<task_id, loss_record> losses;
+    for (std::uint32_t run = 1; run <= 8; ++run)
+        losses[task].runs[run] = {run_loss::Excused, false};
+    losses[task].runs[9] = {run_loss::Suspected, true};
+    std::vector<lost_run> runs {{task, 10, run_loss::Suspected, true}};
+    confirmLastSuspicions(losses, runs);
+    CHECK_EQUAL(0, countOf(runs, run_loss::Crashed));
+}
