Bound what clients and peers can hold, and count whom the limits refuse

The other new tests of http_listener passed before, too. The port between processes: rpc_listener bounds the size of a message, unfinished messages, connections and time. Run: base-test, http-test, wire-test pass; 30,000 cases of the fuzz test. The system tests weren't run yet.

--- a/packages/apps/src/operator_api.cc
+++ b/packages/apps/src/operator_api.cc
@@ -2,6 +2,7 @@
 
 #include "apps/json_views.h"
 #include "apps/voter_change.h"
+#include "base/client_counts.h"
 #include "base/log.h"
 
 #include <algorithm>
@@ -268,7 +269,7 @@
 void operator_api::getMetrics(const http::request &, std::string_view,
                               const http::server::reply &reply)
 {
-    auto answer = textResponse(metrics_.serialize(voter_));
+    auto answer = textResponse(metrics_.serialize(voter_) + clientMetrics());
     answer.contentType = "text/plain; version=0.0.4";
     reply(std::move(answer));
 }
--- a/packages/apps/src/rpc_server.cc
+++ b/packages/apps/src/rpc_server.cc
@@ -2,8 +2,7 @@
 
 #include "base/log.h"
 #include "wire/convert.h"
-
-#include <capnp/rpc-twoparty.h>
+#include "wire/rpc_listener.h"
 
 namespace persimmon::apps {
 
@@ -11,9 +10,6 @@
 
 using namespace wire;
 
-// Delay before accepting again after a failure, for example when file descriptors are exhausted.
-constexpr auto acceptRetryDelay = 100 * kj::MILLISECONDS;
-
 // Adapts a callback-based coordinator call to a promise. The value is held on the heap because g++
 // 12 reports a variant inside kj::Maybe as uninitialized.
 template <typename Value, typename Start>
@@ -185,34 +181,16 @@
     rpc_hooks hooks_;
 };
 
-class twoparty_server final : public rpc_server
+class voter_server final : public rpc_server
 {
 public:
-    twoparty_server(event_loop &loop, kj::Own<kj::ConnectionReceiver> receiver, voter &target,
-                    rpc_hooks hooks)
-        : timer_(loop.io().provider->getTimer())
-        , receiver_(kj::mv(receiver))
-        , server_(kj::heap<voter_service>(target, std::move(hooks)))
-        , accepting_(accept().eagerlyEvaluate(nullptr))
+    explicit voter_server(std::unique_ptr<wire::rpc_listener> opened)
+        : listener_(std::move(opened))
     {
     }
 
-    // The implicit destructor may throw, unlike that of the base class.
-    ~twoparty_server() noexcept override = default;
-
 private:
-    kj::Promise<void> accept()
-    {
-        return server_.listen(*receiver_).catch_([this](kj::Exception &&failure) {
-            logFor("rpc")->warn("can't accept a connection: {}", failure.getDescription().cStr());
-            return timer_.afterDelay(acceptRetryDelay).then([this] { return accept(); });
-        });
-    }
-
-    kj::Timer &timer_;
-    kj::Own<kj::ConnectionReceiver> receiver_;
-    capnp::TwoPartyServer server_;
-    kj::Promise<void> accepting_;
+    std::unique_ptr<wire::rpc_listener> listener_;
 };
 
 } // namespace
@@ -221,21 +199,12 @@
                                                        const std::string &address, voter &target,
                                                        rpc_hooks hooks)
 {
-    std::unique_ptr<rpc_server> opened;
-    const auto failure = kj::runCatchingExceptions([&] {
-        auto &io = loop.io();
-        auto parsed = io.provider->getNetwork().parseAddress(address).wait(io.waitScope);
-        opened = std::make_unique<twoparty_server>(loop, parsed->listen(), target,
-                                                   std::move(hooks));
-    });
-    KJ_IF_MAYBE (exception, failure) {
-        return error {result_code::StorageFailed,
-                      "can't listen on " + address + ": " + exception->getDescription().cStr(),
-                      {},
-                      {}};
-    }
+    auto opened = wire::rpc_listener::listen(loop, address,
+                                             kj::heap<voter_service>(target, std::move(hooks)));
+    if (failed(opened))
+        return errorOf(opened);
     logFor("rpc")->info("listening on {}", address);
-    return opened;
+    return std::unique_ptr<rpc_server>(std::make_unique<voter_server>(std::move(valueOf(opened))));
 }
 
 } // namespace persimmon::apps
--- a/packages/http/src/client_table.h
+++ b/packages/base/include/base/client_table.h
@@ -9,15 +9,16 @@
 #include <utility>
 #include <vector>
 
-namespace persimmon::http {
+namespace persimmon {
 
 using client_id = std::uint64_t;
 
-// What a connection does. Clients that are receiving or idle may be closed for others.
+// What a connection does. Clients may be closed for others, except those that are answering.
 enum class client_phase : std::uint8_t {
     Idle, // between two requests, or before the first byte of one
     Receiving, // a part of a request has arrived
-    Answering, // the request is complete and its response is being made or sent
+    Answering, // the request is complete and its response is being made
+    Sending, // the response waits for the client to read it
 };
 
 struct client_table_limits
@@ -27,10 +28,11 @@
 };
 
 // Decides which connections of a process are closed so that their number and the memory that they
-// hold stay within limits, whatever the clients do. Idle clients go first and then those whose
-// request has been arriving for longest, so a client that sends a request without pause is served
-// also beside many that don't finish theirs. Clients whose request is complete are never chosen.
-// Does no I/O; the caller closes the chosen clients and removes them.
+// hold stay within limits, whatever the clients do. Idle clients go first, then those whose request
+// has been arriving for longest, then those that have taken longest to read their response. So a
+// client that sends a request without pause and reads the response is served also beside many that
+// don't. Clients whose response is being made are never chosen. Does no I/O; the caller closes the
+// chosen clients and removes them.
 class client_table
 {
 public:
@@ -49,8 +51,8 @@
     void setPhase(client_id client, client_phase phase, time_point now);
 
     // Records the memory that a client's request and response hold. Returns the clients to close:
-    // of those that are receiving, the oldest that hold at least an equal share of the limit; if
-    // none is left, this one.
+    // of those that are receiving and then of those that are sending, the oldest that hold at least
+    // an equal share of the limit; if that isn't enough, this one if it is receiving.
     std::vector<client_id> setHeldBytes(client_id client, std::uint64_t bytes);
 
     std::size_t size() const { return clients_.size(); }
@@ -73,4 +75,4 @@
     std::uint64_t heldBytes_ = 0;
 };
 
-} // namespace persimmon::http
+} // namespace persimmon
--- a/packages/cluster/src/member.cc
+++ b/packages/cluster/src/member.cc
@@ -9,8 +9,7 @@
 #include "cluster/address.h"
 #include "consensus/storage.h"
 #include "control.capnp.h"
-
-#include <capnp/rpc-twoparty.h>
+#include "wire/rpc_listener.h"
 
 #include <algorithm>
 #include <map>
@@ -27,7 +26,6 @@
 constexpr milliseconds joinPeriod {700}; // interval between join requests
 constexpr milliseconds membershipPeriod {300}; // interval between membership checks
 constexpr milliseconds peerTimeout {1000};
-constexpr auto acceptRetryDelay = 100 * kj::MILLISECONDS;
 
 class group_member;
 
@@ -185,33 +183,14 @@
 
     status listen()
     {
-        const auto address = addressOf(self_, options_.rpcPort);
-        const auto failure = kj::runCatchingExceptions([&] {
-            auto &io = loop_.io();
-            auto parsed = io.provider->getNetwork().parseAddress(address).wait(io.waitScope);
-            receiver_ = parsed->listen();
-        });
-        KJ_IF_MAYBE (exception, failure) {
-            return error {result_code::StorageFailed,
-                          "can't listen on " + address + ": " + exception->getDescription().cStr(),
-                          {},
-                          {}};
-        }
-        server_ = kj::heap<capnp::TwoPartyServer>(kj::heap<member_service>(*this));
-        accepting_ = accept().eagerlyEvaluate(nullptr);
+        auto opened = wire::rpc_listener::listen(loop_, addressOf(self_, options_.rpcPort),
+                                                 kj::heap<member_service>(*this));
+        if (failed(opened))
+            return errorOf(opened);
+        listener_ = std::move(valueOf(opened));
         return std::monostate {};
     }
 
-    kj::Promise<void> accept()
-    {
-        return server_->listen(*receiver_).catch_([this](kj::Exception &&failure) {
-            logFor("rpc")->warn("can't accept a connection: {}", failure.getDescription().cStr());
-            return loop_.io().provider->getTimer().afterDelay(acceptRetryDelay).then([this] {
-                return accept();
-            });
-        });
-    }
-
     void tick()
     {
         node_->tick(loop_.now());
@@ -314,9 +293,7 @@
     relay_client joinClient_;
     std::unique_ptr<consensus::storage> storage_;
     std::unique_ptr<consensus::node> node_;
-    kj::Own<kj::ConnectionReceiver> receiver_;
-    kj::Own<capnp::TwoPartyServer> server_;
-    kj::Promise<void> accepting_ = nullptr;
+    std::unique_ptr<wire::rpc_listener> listener_;
     std::vector<timer_service::subscription> timers_;
     relay_handler onRelay_ = [](const std::string &, const relay_client::completion &done) {
         done(error {result_code::NotReady, "the node is still starting", {}, {}});
--- a/packages/entry/src/entry_program.cc
+++ b/packages/entry/src/entry_program.cc
@@ -1,6 +1,7 @@
 #include "entry_program.h"
 
 #include "api_service.h"
+#include "base/client_counts.h"
 #include "base/log.h"
 #include "proxy_service.h"
 #include "wire/control_client.h"
@@ -156,7 +157,10 @@
         else if (request.path == "/readyz")
             reply(readiness());
         else if (request.path == "/metrics")
-            reply({200, "text/plain; version=0.0.4", {}, metrics_->render(snapshot())});
+            reply({200,
+                   "text/plain; version=0.0.4",
+                   {},
+                   metrics_->render(snapshot()) + clientMetrics()});
         else
             proxy_.handle(std::move(request), reply);
     }
--- a/packages/http/src/client_registry.cc
+++ b/packages/http/src/client_registry.cc
@@ -1,30 +1,24 @@
 #include "client_registry.h"
 
-#include "base/log.h"
+#include "base/descriptors.h"
 
 #include <boost/asio/strand.hpp>
 #include <pplx/threadpool.h>
 
 #include <algorithm>
-#include <sys/resource.h>
 
 namespace persimmon::http {
 
 namespace {
 
-// Descriptors that a process needs beside its clients: files, peers, upstreams.
-constexpr std::size_t ownDescriptorsDivisor = 4;
+constexpr std::size_t descriptorsDivisor = 2; // share of the clients
 constexpr std::size_t maxDefaultClients = 8192;
 
 std::size_t maxClientsOf(const client_limits &limits)
 {
     if (limits.maxConnections > 0)
         return limits.maxConnections;
-    rlimit descriptors {};
-    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0)
-        return maxDefaultClients;
-    const auto available = static_cast<std::size_t>(descriptors.rlim_cur);
-    return std::min(available - available / ownDescriptorsDivisor, maxDefaultClients);
+    return std::min(maxDescriptors() / descriptorsDivisor, maxDefaultClients);
 }
 
 } // namespace
@@ -45,7 +39,7 @@
 void client_registry::add(client_id id, const std::shared_ptr<connection> &item)
 {
     connections_[id] = item;
-    close(table_.add(id, now()));
+    close(table_.add(id, now()), client_cause::Connections);
 }
 
 void client_registry::remove(client_id id)
@@ -61,7 +55,7 @@
 
 void client_registry::setHeldBytes(client_id id, std::uint64_t bytes)
 {
-    close(table_.setHeldBytes(id, bytes));
+    close(table_.setHeldBytes(id, bytes), client_cause::Memory);
 }
 
 time_point client_registry::now()
@@ -76,11 +70,11 @@
 }
 
 // The connections that are chosen may be the one that is calling.
-void client_registry::close(const std::vector<client_id> &chosen)
+void client_registry::close(const std::vector<client_id> &chosen, client_cause cause)
 {
     for (const auto id : chosen) {
         if (const auto item = find(id))
-            item->refuse({result_code::Overloaded, "too many unfinished requests", {}, {}});
+            item->yield(cause);
     }
 }
 
--- a/packages/http/src/client_registry.h
+++ b/packages/http/src/client_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "client_table.h"
+#include "base/client_counts.h"
+#include "base/client_table.h"
 #include "connection.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -38,7 +39,7 @@
 private:
     explicit client_registry(const client_limits &limits);
 
-    void close(const std::vector<client_id> &chosen);
+    void close(const std::vector<client_id> &chosen, client_cause cause);
 
     boost::asio::any_io_executor strand_;
     client_table table_;
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -1,6 +1,6 @@
 #include "connection.h"
 
-#include "base/log.h"
+#include "base/client_counts.h"
 #include "client_registry.h"
 
 #include <boost/asio/buffer.hpp>
@@ -20,8 +20,11 @@
 
 // Time for which a refused client may go on sending, so that it can read the refusal, and the bytes
 // that are read meanwhile.
-constexpr milliseconds lingerTime {1000};
-constexpr std::size_t maxDiscardedBytes = std::size_t {256} * 1024;
+constexpr milliseconds lingerTime {2000};
+constexpr std::size_t maxDiscardedBytes = std::size_t {8} * 1024 * 1024;
+
+// Copies of a request's body that exist while it is handled: received, encoded and relayed.
+constexpr std::uint64_t copiesOfBody = 4;
 
 constexpr std::string_view interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -184,8 +187,10 @@
 void connection::process(std::string_view bytes)
 {
     const auto outcome = reader_.feed(bytes);
-    if (outcome == request_reader::state::Refused)
+    if (outcome == request_reader::state::Refused) {
+        count(reader_.cause());
         return refuse(reader_.reason());
+    }
     if (outcome == request_reader::state::Complete)
         return dispatch();
     if (outcome == request_reader::state::Receiving) {
@@ -213,7 +218,7 @@
     isHead_ = complete.method == "HEAD";
     receiving_ = true;
     registry_.setPhase(id_, client_phase::Receiving);
-    if (!hold(reader_.heldBytes() + complete.body.capacity()))
+    if (!hold(reader_.heldBytes() + copiesOfBody * complete.body.capacity()))
         return;
     receiving_ = false;
     setStage(stage::Answering, client_phase::Answering);
@@ -231,7 +236,7 @@
 
 void connection::send(const response &value, bool closeAfter)
 {
-    setStage(stage::Sending, client_phase::Answering);
+    setStage(stage::Sending, client_phase::Sending);
     setDeadline(options_.timeout);
     output_ = serialize(value, isHead_, closeAfter);
     registry_.setHeldBytes(id_, reader_.heldBytes() + output_.capacity());
@@ -247,8 +252,6 @@
 void connection::afterSend(bool closeAfter)
 {
     output_ = {};
-    if (stage_ == stage::Lingering)
-        return linger();
     if (stage_ != stage::Sending)
         return;
     if (closeAfter || finishing_)
@@ -259,26 +262,39 @@
     process({});
 }
 
+void connection::count(client_cause cause) const
+{
+    error_code ignored;
+    countClient(cause, socket_.remote_endpoint(ignored).address().to_string(ignored));
+}
+
+void connection::yield(client_cause cause)
+{
+    const bool isIdle = stage_ == stage::Reading && !receiving_;
+    if (isIdle)
+        receive(); // its next request may have arrived
+    if (stage_ == stage::Answering || (isIdle && stage_ == stage::Lingering))
+        return;
+    if (stage_ != stage::Closed)
+        count(cause);
+    if (stage_ == stage::Reading && receiving_)
+        return refuse({result_code::Overloaded, "too many unfinished requests", {}, {}});
+    close();
+}
+
 void connection::refuse(const error &reason)
 {
-    if (stage_ != stage::Reading)
-        return stage_ == stage::Lingering ? close() : void();
     auto value = refusal(reason);
     value.headers.insert(value.headers.end(), options_.refusalHeaders.begin(),
                          options_.refusalHeaders.end());
-    isHead_ = false;
-    const auto idle = !receiving_ && reason.code == result_code::Overloaded;
-    if (idle)
-        return close(); // there is no request to refuse
-    output_ = serialize(value, false, true);
+    const auto output = serialize(value, false, true);
     stage_ = stage::Lingering;
     reader_.clear();
     registry_.setPhase(id_, client_phase::Idle);
-    registry_.setHeldBytes(id_, output_.capacity());
+    registry_.setHeldBytes(id_, 0);
     setDeadline(lingerTime);
     error_code ignored;
-    socket_.write_some(net::buffer(output_), ignored);
-    output_ = {};
+    socket_.write_some(net::buffer(output), ignored);
     linger();
 }
 
@@ -304,8 +320,13 @@
 void connection::finish()
 {
     finishing_ = true;
-    if (stage_ == stage::Reading || stage_ == stage::Lingering)
-        close();
+    if (stage_ == stage::Reading)
+        receive(); // a request may have arrived
+    if (stage_ != stage::Reading)
+        return;
+    if (receiving_)
+        return refuse({result_code::Stopping, "this process is stopping", {}, {}});
+    close();
 }
 
 void connection::close()
@@ -322,8 +343,16 @@
 {
     if (now < deadline_ || stage_ == stage::Answering)
         return;
-    if (stage_ == stage::Reading && receiving_)
+    if (stage_ == stage::Reading && !receiving_)
+        receive(); // its next request may have arrived
+    if (now < deadline_ || stage_ == stage::Answering)
+        return;
+    if (stage_ == stage::Reading && receiving_) {
+        count(client_cause::Timeout);
         return refuse({result_code::RequestTimeout, "the request took too long", {}, {}});
+    }
+    if (stage_ != stage::Lingering)
+        count(stage_ == stage::Sending ? client_cause::SlowReader : client_cause::Idle);
     close();
 }
 
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "client_table.h"
+#include "base/client_table.h"
 #include "http/server.h"
 #include "request_reader.h"
 
@@ -37,8 +37,9 @@
 
     void start();
 
-    // Sends a refusal and closes the connection, if no request is being answered.
-    void refuse(const error &reason);
+    // Makes room for other clients: refuses a request that is being received, or closes the
+    // connection. Has no effect while a response is being made.
+    void yield(client_cause cause);
 
     // Closes the connection after the request that is being answered, or at once if there is none.
     void finish();
@@ -56,6 +57,8 @@
 
     void awaitBytes();
     void receive();
+    void refuse(const error &reason);
+    void count(client_cause cause) const;
     void discard();
     void process(std::string_view bytes);
     void dispatch();
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -25,7 +25,10 @@
 constexpr milliseconds acceptPause {100};
 
 // Time for the requests in progress to be answered when a listener closes.
-constexpr milliseconds closeTimeout {2000};
+constexpr milliseconds closeTimeout {500};
+
+// Size of the system's buffers of a connection, which count towards the memory of the process.
+constexpr int socketBufferBytes = 65536;
 
 net::ip::tcp::endpoint endpointOf(const std::string &address)
 {
@@ -60,6 +63,9 @@
         const auto endpoint = endpointOf(options_.address);
         socket_.open(endpoint.protocol());
         socket_.set_option(net::socket_base::reuse_address(true));
+        error_code ignored; // connections inherit the sizes, where the system supports them
+        socket_.set_option(net::socket_base::receive_buffer_size(socketBufferBytes), ignored);
+        socket_.set_option(net::socket_base::send_buffer_size(socketBufferBytes), ignored);
         socket_.bind(endpoint);
         socket_.listen(net::socket_base::max_listen_connections);
         net::post(strand(), [self = shared_from_this()] { self->accept(); });
--- a/packages/http/src/request_reader.cc
+++ b/packages/http/src/request_reader.cc
@@ -5,6 +5,8 @@
 #include <cpprest/base_uri.h>
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace persimmon::http {
 
@@ -13,17 +15,19 @@
 namespace beast = boost::beast;
 
 // What a stored field takes beside its texts.
-constexpr std::size_t fieldOverhead = 2 * sizeof(std::string);
+constexpr std::size_t fieldOverhead = 2 * sizeof(header);
 
 // Longest Content-Length in digits.
 constexpr std::size_t maxLengthDigits = 18;
 
-// The parser's own limit of the bytes of a head, above all that the limits of a request allow.
-constexpr std::uint32_t headOverhead = 4096;
-constexpr std::uint32_t bytesAroundField = 8; // colon, spaces and line end
+// Bytes of a head beside its target and fields.
+constexpr std::size_t startLineBytes = 4096;
+constexpr std::size_t bytesAroundField = 8; // colon, spaces and line end
 
 constexpr int httpVersion11 = 11;
 
+constexpr std::string_view headEnd = "\r\n\r\n";
+
 std::string_view viewOf(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -55,18 +59,25 @@
 
 } // namespace
 
+namespace {
+
+// Returns the limit of a head as received, with all spaces and line ends.
+std::size_t maxHeadBytes(const request_limits &limits)
+{
+    return limits.maxHeaderBytes + limits.maxTargetBytes + limits.maxFields * bytesAroundField
+            + startLineBytes;
+}
+
+} // namespace
+
 class request_reader::parser : public beast::http::basic_parser<true>
 {
 public:
     explicit parser(const request_limits &limits)
         : limits_(limits)
     {
-        const auto fieldBytes = limits.maxFields * bytesAroundField;
-        header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes + limits.maxTargetBytes
-                                                + fieldBytes)
-                     + headOverhead);
+        header_limit(static_cast<std::uint32_t>(maxHeadBytes(limits)));
         body_limit(limits.maxBodyBytes);
-        eager(true);
     }
 
     request &value() { return value_; }
@@ -75,6 +86,12 @@
 
     bool takeExpectation() { return is_header_done() && std::exchange(expectsInterim_, false); }
 
+    // Returns whether the line before a chunk, or the trailers, were read since the last call.
+    bool takeChunkHeader() { return std::exchange(chunkHeaderRead_, false); }
+
+    // Connections of older clients would need a field of their own to be kept.
+    bool keepsConnection() const { return isCurrentVersion_ && keep_alive(); }
+
 protected:
     using text = beast::string_view;
     using error_code = beast::error_code;
@@ -94,10 +111,10 @@
     void on_field_impl(beast::http::field field, text name, text content,
                        error_code &failure) override
     {
-        if (headDone_)
+        if (is_header_done())
             return; // trailers aren't used
         fieldBytes_ += name.size() + content.size();
-        if (fieldBytes_ > limits_.maxHeaderBytes || value_.headers.size() >= limits_.maxFields)
+        if (fieldBytes_ > limits_.maxHeaderBytes || ++fields_ > limits_.maxFields)
             return refuse({result_code::HeadersTooLarge,
                            "header fields exceed " + std::to_string(limits_.maxHeaderBytes)
                                    + " bytes or " + std::to_string(limits_.maxFields) + " fields",
@@ -106,16 +123,18 @@
                           failure);
         if (!checkFraming(field, viewOf(content)))
             return refuse(framingError(), failure);
-        if (field == beast::http::field::host && !value_.find("Host").empty())
-            return refuse({result_code::MalformedRequest, "must not be repeated", "Host", {}},
-                          failure);
         if (field == beast::http::field::expect)
             expectsInterim_ = isCurrentVersion_ && beast::iequals(content, "100-continue");
-        heldBytes_ += name.size() + content.size() + fieldOverhead;
-        value_.headers.push_back({std::string(viewOf(name)), std::string(viewOf(content))});
+        heldBytes_ += 2 * name.size() + content.size() + fieldOverhead;
+        if (!store(viewOf(name), viewOf(content)))
+            refuse({result_code::MalformedRequest, "must not be repeated", "Host", {}}, failure);
     }
 
-    void on_header_impl(error_code &) override { headDone_ = true; }
+    void on_header_impl(error_code &failure) override
+    {
+        if (isChunked_ && !isCurrentVersion_)
+            refuse(framingError(), failure);
+    }
 
     void on_body_init_impl(const boost::optional<std::uint64_t> &, error_code &) override { }
 
@@ -125,7 +144,10 @@
         return bytes.size();
     }
 
-    void on_chunk_header_impl(std::uint64_t, text, error_code &) override { }
+    void on_chunk_header_impl(std::uint64_t, text, error_code &) override
+    {
+        chunkHeaderRead_ = true;
+    }
 
     std::size_t on_chunk_body_impl(std::uint64_t, text bytes, error_code &failure) override
     {
@@ -148,8 +170,23 @@
         failure = beast::http::error::bad_value;
     }
 
+    // Stores a field. Repeated fields are joined as lists are (RFC 9110, section 5.3). Returns
+    // false for a field that must not be repeated.
+    bool store(std::string_view name, std::string_view content)
+    {
+        const auto [known, isNew]
+                = positions_.try_emplace(std::string(name), value_.headers.size());
+        if (isNew) {
+            value_.headers.push_back({std::string(name), std::string(content)});
+            return true;
+        }
+        value_.headers[known->second].value.append(", ").append(content);
+        return !beast::iequals(beast::string_view(name.data(), name.size()), "Host");
+    }
+
     void setTarget(std::string_view target, error_code &failure)
     {
+        target = target.substr(0, target.find('#'));
         const auto query = target.find('?');
         value_.rawPath = std::string(target.substr(0, query));
         if (query != std::string_view::npos)
@@ -175,18 +212,44 @@
 
     const request_limits &limits_;
     request value_;
+    std::map<std::string, std::size_t, beast::iless> positions_; // of the fields, by name
     std::optional<error> reason_;
     std::uint64_t fieldBytes_ = 0;
+    std::size_t fields_ = 0;
     std::size_t heldBytes_ = 0;
-    bool headDone_ = false;
     bool isCurrentVersion_ = true;
     bool expectsInterim_ = false;
+    bool chunkHeaderRead_ = false;
     bool hasLength_ = false;
     bool isChunked_ = false;
 };
 
 namespace {
 
+client_cause causeOf(result_code code, bool isHeadDone)
+{
+    if (code == result_code::BodyTooLarge)
+        return client_cause::Body;
+    if (code == result_code::AmbiguousFraming)
+        return client_cause::Framing;
+    if (code == result_code::HeadersTooLarge)
+        return isHeadDone ? client_cause::Trailer : client_cause::Head;
+    return client_cause::Malformed;
+}
+
+error headError()
+{
+    return {result_code::HeadersTooLarge, "the head of the request is too long", {}, {}};
+}
+
+error trailerError()
+{
+    return {result_code::HeadersTooLarge,
+            "a trailer or the line before a chunk is too long",
+            {},
+            {}};
+}
+
 error errorFor(const beast::error_code &failure, const request_limits &limits)
 {
     using beast::http::error;
@@ -196,7 +259,7 @@
                 {},
                 {}};
     if (failure == error::header_limit)
-        return {result_code::HeadersTooLarge, "the head of the request is too long", {}, {}};
+        return headError();
     if (failure == error::bad_content_length || failure == error::bad_transfer_encoding)
         return framingError();
     return {result_code::MalformedRequest, failure.message(), {}, {}};
@@ -213,6 +276,8 @@
 
 request_reader::state request_reader::refuse(error reason)
 {
+    const bool isHeadDone = parser_ && parser_->is_header_done();
+    cause_ = causeOf(reason.code, isHeadDone);
     reason_ = std::move(reason);
     clear();
     return state::Refused;
@@ -237,35 +302,65 @@
     return emptyLines_ <= limits_.maxEmptyLines;
 }
 
+// Looks for the end of the head. Returns why the request is refused, if it is. The head is parsed
+// only once it is complete, so that the result doesn't depend on how it was cut.
+std::optional<error> request_reader::scanHead()
+{
+    const auto limit = maxHeadBytes(limits_);
+    for (; !headComplete_ && scanned_ < pending_.size(); ++scanned_) {
+        if (scanned_ >= limit)
+            return headError();
+        if (pending_[scanned_] != '\n')
+            continue;
+        if (scanned_ == 0 || pending_[scanned_ - 1] != '\r')
+            return error {result_code::MalformedRequest, "bad line ending", {}, {}};
+        headComplete_ = scanned_ >= headEnd.size() - 1
+                && pending_.compare(scanned_ + 1 - headEnd.size(), headEnd.size(), headEnd) == 0;
+    }
+    return std::nullopt;
+}
+
 request_reader::state request_reader::feed(std::string_view bytes)
 {
     pending_.append(bytes);
-    if (!parser_) {
-        if (!skipEmptyLines())
+    if (!headComplete_) {
+        if (scanned_ == 0 && !skipEmptyLines())
             return refuse({result_code::MalformedRequest, "too many empty lines", {}, {}});
         if (pending_.empty() || pending_ == "\r")
             return state::Idle;
+        if (auto refused = scanHead())
+            return refuse(std::move(*refused));
+        if (!headComplete_)
+            return state::Receiving;
         parser_ = std::make_unique<parser>(limits_);
     }
+    if (auto refused = parse())
+        return refuse(std::move(*refused));
+    if (!parser_->is_done())
+        return state::Receiving;
+    keepAlive_ = parser_->keepsConnection();
+    return state::Complete;
+}
+
+// Parses what was received, step by step. Returns why the request is refused, if it is.
+std::optional<error> request_reader::parse()
+{
+    std::string_view rest = pending_;
     beast::error_code failure;
-    std::size_t parsed = 0;
     while (!failure && !parser_->is_done()) {
-        const auto count = parser_->put(
-                boost::asio::buffer(pending_.data() + parsed, pending_.size() - parsed), failure);
-        parsed += count;
-        if (count == 0 && !failure)
+        const auto count = parser_->put(boost::asio::buffer(rest.data(), rest.size()), failure);
+        rest.remove_prefix(count);
+        if (parser_->takeChunkHeader() && count > limits_.maxTrailerBytes)
+            return trailerError();
+        if (count == 0)
             break;
     }
-    pending_.erase(0, parsed);
     if (failure && failure != beast::http::error::need_more)
-        return refuse(parser_->reason().value_or(errorFor(failure, limits_)));
-    if (parser_->is_done()) {
-        keepAlive_ = parser_->keep_alive();
-        return state::Complete;
-    }
-    if (parser_->is_header_done() && pending_.size() > limits_.maxTrailerBytes)
-        return refuse({result_code::HeadersTooLarge, "a trailer or chunk is too long", {}, {}});
-    return state::Receiving;
+        return parser_->reason().value_or(errorFor(failure, limits_));
+    pending_.erase(0, pending_.size() - rest.size());
+    if (!parser_->is_done() && pending_.size() > limits_.maxTrailerBytes)
+        return trailerError();
+    return std::nullopt;
 }
 
 request request_reader::take()
@@ -273,6 +368,8 @@
     auto taken = std::move(parser_->value());
     parser_.reset();
     emptyLines_ = 0;
+    scanned_ = 0;
+    headComplete_ = false;
     if (pending_.empty())
         pending_.shrink_to_fit();
     return taken;
--- a/packages/http/src/request_reader.h
+++ b/packages/http/src/request_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/client_counts.h"
 #include "http/server.h"
 
 #include <memory>
@@ -14,10 +15,10 @@
 {
     std::uint64_t maxHeaderBytes = 16384; // names and values of all header fields
     std::uint64_t maxBodyBytes = 1048576;
-    std::size_t maxTargetBytes = 8192;
-    std::size_t maxFields = 256;
-    std::size_t maxTrailerBytes = 8192; // also the limit of the line before a chunk
-    std::size_t maxEmptyLines = 4; // before a request
+    std::size_t maxTargetBytes = 16384;
+    std::size_t maxFields = 4096;
+    std::size_t maxTrailerBytes = 16384; // also the limit of the line before a chunk
+    std::size_t maxEmptyLines = 16; // before a request
 };
 
 // Reads requests from the bytes of a connection. Holds no more than the limits allow, whatever
@@ -43,6 +44,7 @@
 
     // Returns why the request was refused.
     const error &reason() const { return reason_; }
+    client_cause cause() const { return cause_; }
 
     // Returns, once for each request, whether the client waits for an interim response before it
     // sends the body.
@@ -58,13 +60,18 @@
     class parser;
 
     bool skipEmptyLines();
+    std::optional<error> scanHead();
+    std::optional<error> parse();
     state refuse(error reason);
 
     request_limits limits_;
     std::string pending_; // received and not parsed yet
     std::size_t emptyLines_ = 0;
+    std::size_t scanned_ = 0; // bytes of pending_ in which the end of the head was looked for
+    bool headComplete_ = false;
     std::unique_ptr<parser> parser_; // of the request that is being received
     error reason_;
+    client_cause cause_ = client_cause::Malformed;
     bool keepAlive_ = true;
 };
 
--- /dev/null
+++ b/packages/http/test/listener-test.cc
@@ -0,0 +1,221 @@
+// Connections of the listener: what arrives, in which order, and what a planned stop does.
+#include "http/server.h"
+#include "raw_client.h"
+
+#include <functional>
+#include <future>
+#include <thread>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmon;
+using namespace persimmon::http::testing;
+
+namespace {
+
+std::string get(const std::string &path, const std::string &fields = {})
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
+}
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
+} // namespace
+
+TEST_GROUP(http_listener)
+{
+    int port = freePort();
+    wire::event_loop loop;
+    std::unique_ptr<http::server> opened;
+    std::vector<http::server::reply> kept; // replies to /keep
+    std::size_t handled = 0;
+
+    void setup() override
+    {
+        http::server_options options;
+        options.address = "127.0.0.1:" + std::to_string(port);
+        options.refusalHeaders = {{"Outcome", "not_run"}};
+        auto outcome = http::server::listen(
+                loop, options, [this](const http::request &request, http::server::reply reply) {
+                    handle(request, std::move(reply));
+                });
+        CHECK_FALSE(failed(outcome));
+        opened = std::move(valueOf(outcome));
+    }
+
+    void teardown() override
+    {
+        kept.clear();
+    }
+
+    void handle(const http::request &request, http::server::reply reply)
+    {
+        ++handled;
+        if (request.path == "/keep")
+            kept.push_back(std::move(reply));
+        else if (request.path == "/twice")
+            reply({200, "", {}, "first"}), reply({200, "", {}, "second"});
+        else if (request.path == "/throw")
+            throw std::runtime_error("broken");
+        else if (request.path != "/drop")
+            reply({200, "", {}, request.path + std::to_string(request.body.size())});
+    }
+
+    // Runs the loop while a client works on a thread of its own.
+    void run(const std::function<void()> &work)
+    {
+        std::thread caller([&] {
+            work();
+            loop.stop();
+        });
+        loop.run();
+        caller.join();
+    }
+
+    std::string exchangeBeside(const std::string &bytes) const
+    {
+        const raw_client client(port);
+        client.send(bytes);
+        return client.receiveAll();
+    }
+
+    std::string exchange(const std::string &bytes)
+    {
+        std::string received;
+        run([&] { received = exchangeBeside(bytes); });
+        return received;
+    }
+
+    // Waits until the loop has handled a number of requests.
+    void waitForRequests(std::size_t count)
+    {
+        for (int i = 0; i < 500; ++i) {
+            std::promise<bool> reached;
+            loop.post([&] { reached.set_value(handled >= count); });
+            if (reached.get_future().get())
+                return;
+            std::this_thread::sleep_for(milliseconds {10});
+        }
+    }
+};
+
+// Guards against requests that are lost, or answered out of order, because they came together.
+TEST(http_listener, answersRequestsThatCameTogetherInTurn)
+{
+    const auto answer
+            = exchange(get("/a") + get("/b") + get("/c", "Connection: close\r\n") + get("/d"));
+    LONGS_EQUAL(3, countOf(answer, "HTTP/1.1 200"));
+    CHECK_TRUE(answer.find("/a0") < answer.find("/b0") && answer.find("/b0") < answer.find("/c0"));
+    LONGS_EQUAL(3, handled);
+}
+
+// Guards against a body in the response to HEAD, which the client takes for the next response.
+TEST(http_listener, sendsNoBodyToHead)
+{
+    const auto answer
+            = exchange("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n" + get("/b", "Connection: close\r\n"));
+    LONGS_EQUAL(2, countOf(answer, "Content-Length: 3\r\n"));
+    LONGS_EQUAL(0, countOf(answer, "/a0"));
+    LONGS_EQUAL(1, countOf(answer, "/b0"));
+}
+
+// Guards against clients that wait for leave to send the body.
+TEST(http_listener, asksForTheBodyThatAClientHoldsBack)
+{
+    std::string interim;
+    std::string answer;
+    run([&] {
+        const raw_client client(port);
+        client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                    "Expect: 100-continue\r\nConnection: close\r\n\r\n");
+        interim = client.receiveUntil("\r\n\r\n");
+        client.send("body");
+        answer = client.receiveAll();
+    });
+    STRCMP_EQUAL("HTTP/1.1 100 Continue\r\n\r\n", interim.c_str());
+    CHECK_TRUE(answer.starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a refusal that the client can't read, because the connection was reset while it
+// was sending.
+TEST(http_listener, refusalOfALargeBodyCanBeRead)
+{
+    const std::string body(4000000, 'a');
+    const auto answer
+            = exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n" + body);
+    CHECK_TRUE(answer.starts_with("HTTP/1.1 413"));
+    CHECK_TRUE(answer.find("Outcome: not_run") != std::string::npos);
+    LONGS_EQUAL(0, handled);
+}
+
+// Guards against a connection that stays open, or a second response, by a handler's mistake.
+TEST(http_listener, bearsMistakesOfTheHandler)
+{
+    std::string dropped;
+    std::string twice;
+    std::string thrown;
+    run([&] {
+        dropped = exchangeBeside(get("/drop"));
+        twice = exchangeBeside(get("/twice") + get("/b", "Connection: close\r\n"));
+        thrown = exchangeBeside(get("/throw", "Connection: close\r\n"));
+    });
+    LONGS_EQUAL(0, dropped.size());
+    LONGS_EQUAL(2, countOf(twice, "HTTP/1.1 200"));
+    LONGS_EQUAL(0, countOf(twice, "second"));
+    CHECK_TRUE(thrown.starts_with("HTTP/1.1 500"));
+}
+
+// Guards against a planned stop that cuts a request which is being answered.
+TEST(http_listener, closingWaitsForResponses)
+{
+    std::string answer;
+    run([&] {
+        const raw_client client(port);
+        client.send(get("/keep"));
+        waitForRequests(1);
+        std::thread closing([&] { opened->close(); });
+        std::this_thread::sleep_for(milliseconds {50});
+        loop.post([&] { kept.at(0)({200, "", {}, "kept"}); });
+        answer = client.receiveAll();
+        closing.join();
+    });
+    CHECK_TRUE(answer.starts_with("HTTP/1.1 200"));
+    CHECK_TRUE(answer.find("Connection: close") != std::string::npos);
+}
+
+// Guards against a planned stop that drops a request without an answer when a part of it has come.
+TEST(http_listener, closingRefusesUnfinishedRequests)
+{
+    std::string answer;
+    run([&] {
+        const raw_client client(port);
+        client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+        std::this_thread::sleep_for(milliseconds {50});
+        std::thread closing([&] { opened->close(); });
+        answer = client.receiveAll();
+        closing.join();
+    });
+    CHECK_TRUE(answer.starts_with("HTTP/1.1 503"));
+    CHECK_TRUE(answer.find("Outcome: not_run") != std::string::npos);
+}
+
+// Guards against a stop that never ends, and a crash by a reply that comes after it.
+TEST(http_listener, closingEndsAlsoWithoutTheReply)
+{
+    run([&] {
+        const raw_client client(port);
+        client.send(get("/keep"));
+        waitForRequests(1);
+        opened->close();
+        opened.reset();
+        kept.at(0)({200, "", {}, "late"});
+        LONGS_EQUAL(0, client.receiveAll().size());
+    });
+}
--- a/packages/http/test/server-test.cc
+++ b/packages/http/test/server-test.cc
@@ -1,58 +1,22 @@
 #include "http/server.h"
+#include "raw_client.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <thread>
 
 using namespace persimmon;
+using namespace persimmon::http::testing;
 
 namespace {
 
-sockaddr_in localAddress(int port)
-{
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
-
-int freePort()
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto address = localAddress(0);
-    socklen_t size = sizeof address;
-    if (::bind(socket, reinterpret_cast<sockaddr *>(&address), size) != 0
-        || ::getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size) != 0)
-        address.sin_port = 0;
-    ::close(socket);
-    return ntohs(address.sin_port);
-}
-
-// Sends bytes and returns all bytes received until the listener closes the connection or 2 s have
-// passed without data.
+// Sends bytes and returns all bytes received until the listener closes the connection or nothing
+// has come for a while.
 std::string sendAndReceive(int port, const std::string &bytes)
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    const timeval limit {2, 0};
-    ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-    const auto address = localAddress(port);
-    std::string text;
-    if (::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0) {
-        ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        char buffer[4096];
-        for (ssize_t count = 1; count > 0;) {
-            count = ::recv(socket, buffer, sizeof buffer, 0);
-            text.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
-        }
-    }
-    ::close(socket);
-    return text;
+    const raw_client client(port);
+    client.send(bytes);
+    return client.receiveAll();
 }
 
 std::string post(const std::string &fields, const std::string &body)
