--- a/packages/base/include/base/settings.h
+++ b/packages/base/include/base/settings.h
@@ -34,6 +34,9 @@
     std::uint64_t maxHeaderBytes = 16384;
     std::uint64_t maxBodyBytes = 1048576;
     milliseconds httpTimeout {30000};
+    milliseconds httpIdleTimeout {120000};
+    std::uint32_t maxConnections = 0; // 0: three quarters of the descriptors of the process
+    std::uint64_t maxHeldBytes = std::uint64_t {32} << 20U;
 
     std::vector<voter_address> voters;
 
--- a/packages/base/test/event_log-test.cc
+++ b/packages/base/test/event_log-test.cc
@@ -1,5 +1,7 @@
 #include "base/event_log.h"
 
+#include "base/client_counts.h"
+
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -95,6 +97,22 @@
     CHECK_EQUAL(50, count(text, "event=raised "));
 }
 
+// Guards against a log that hostile clients fill.
+TEST(EventLog, logsRefusedClientsOnceForACauseAndAnAddress)
+{
+    captured_output output;
+    startEventLog("n1", 1000);
+    for (int i = 0; i < 100; ++i) {
+        countClient(client_cause::Body, "10.0.0.3");
+        countClient(client_cause::Idle, "10.0.0.3");
+    }
+    countClient(client_cause::Body, "10.0.0.4");
+    stopEventLog();
+    const auto text = output.text();
+    LONGS_EQUAL(2, count(text, "event=client.refused"));
+    LONGS_EQUAL(1, count(text, "event=client.refused why=body from=10.0.0.4 clients=1"));
+}
+
 // Guards against suppressed lines that the log doesn't count.
 TEST(EventLog, reportsSuppressedLines)
 {
--- a/packages/cluster/include/cluster/member.h
+++ b/packages/cluster/include/cluster/member.h
@@ -5,6 +5,7 @@
 #include "cluster/relay_client.h"
 #include "consensus/node.h"
 #include "wire/event_loop.h"
+#include "wire/rpc_listener.h"
 
 #include <functional>
 #include <memory>
@@ -26,6 +27,7 @@
     // voters than this, that is, after a replacement has joined.
     std::size_t voters = 3;
     milliseconds voterTimeout {4000}; // a voter without an answer for this time may be removed
+    wire::rpc_limits limits; // for the connections of peers
 };
 
 // A node of the control group: the replicated log with its files, connections and membership. A
--- a/packages/cluster/src/member.cc
+++ b/packages/cluster/src/member.cc
@@ -9,7 +9,6 @@
 #include "cluster/address.h"
 #include "consensus/storage.h"
 #include "control.capnp.h"
-#include "wire/rpc_listener.h"
 
 #include <algorithm>
 #include <map>
@@ -184,7 +183,7 @@
     status listen()
     {
         auto opened = wire::rpc_listener::listen(loop_, addressOf(self_, options_.rpcPort),
-                                                 kj::heap<member_service>(*this));
+                                                 kj::heap<member_service>(*this), options_.limits);
         if (failed(opened))
             return errorOf(opened);
         listener_ = std::move(valueOf(opened));
--- a/packages/http/include/http/server.h
+++ b/packages/http/include/http/server.h
@@ -55,7 +55,7 @@
 // Limits for the clients of all listeners of a process together.
 struct client_limits
 {
-    // Connections that may be open; 0: half of the descriptors that the process may open.
+    // Connections that may be open; 0: three quarters of the descriptors that the process may open.
     std::size_t maxConnections = 0;
     // Memory that unfinished requests and responses may hold, in bytes. Beyond it, requests that
     // have been arriving for longest are refused.
--- a/packages/http/src/client_registry.cc
+++ b/packages/http/src/client_registry.cc
@@ -11,14 +11,13 @@
 
 namespace {
 
-constexpr std::size_t descriptorsDivisor = 2; // share of the clients
 constexpr std::size_t maxDefaultClients = 8192;
 
 std::size_t maxClientsOf(const client_limits &limits)
 {
     if (limits.maxConnections > 0)
         return limits.maxConnections;
-    return std::min(maxDescriptors() / descriptorsDivisor, maxDefaultClients);
+    return std::min(maxDescriptors() / 4 * 3, maxDefaultClients);
 }
 
 } // namespace
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -109,12 +109,14 @@
         if (!socket_.is_open())
             return;
         if (failure) {
-            logFor("http")->warn("accepting a connection failed: {}", failure.message());
+            if (!std::exchange(failing_, true))
+                logFor("http")->warn("accepting connections fails: {}", failure.message());
             pauseTimer_.expires_after(acceptPause);
             pauseTimer_.async_wait(
                     [self = shared_from_this()](const error_code &) { self->accept(); });
             return;
         }
+        failing_ = false;
         serve(std::move(opened));
         accept();
     }
@@ -197,6 +199,7 @@
     net::steady_timer checkTimer_;
     net::steady_timer pauseTimer_;
     std::set<client_id> clients_;
+    bool failing_ = false; // the last connection could not be accepted
     std::shared_ptr<std::promise<void>> closed_;
 };
 
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -36,6 +36,8 @@
     options.maxHeaderBytes = values.maxHeaderBytes;
     options.maxBodyBytes = values.maxBodyBytes;
     options.timeout = values.httpTimeout;
+    options.idleTimeout = values.httpIdleTimeout;
+    options.clients = {values.maxConnections, values.maxHeldBytes};
     return options;
 }
 
--- a/packages/system/test/soak-test.cc
+++ b/packages/system/test/soak-test.cc
@@ -189,6 +189,16 @@
     item.run(soakSeconds(14));
 }
 
+// Guards against clients outside the limits that keep a system from its work, or that a restart or
+// the loss of a leader lets through. PERSIMMON_SOAK_SECONDS and PERSIMMON_SOAK_SEED as above.
+TEST(BatchSystemSoak, soakBesideHostileClients)
+{
+    soak item({.seed = 105});
+    item.faults.push_back(std::make_unique<client_faults>(item.system, item.random));
+    item.faults.push_back(std::make_unique<scheduler_faults>(item.system, item.random));
+    item.run(soakSeconds(10));
+}
+
 // Guards against a core that is lost as a whole and comes back too late for urgent work, or without
 // what it has accepted. PERSIMMON_RECOVERY_ROUNDS sets the number of losses; each is printed.
 TEST(BatchSystemSoak, recoversAfterTheLossOfAllSchedulers)
--- a/packages/system/test/soak_faults.cc
+++ b/packages/system/test/soak_faults.cc
@@ -209,4 +209,48 @@
     return std::exchange(wasActive_, false);
 }
 
+client_faults::client_faults(batch_system &system, random_source &random)
+    : system_(system)
+    , random_(random)
+{
+}
+
+void client_faults::step()
+{
+    if (nowMs() < untilMs_ || !end())
+        return;
+    untilMs_ = nowMs() + random_.draw(500, 3000);
+    ++begun_;
+    const auto plans = hostileRequests();
+    const auto last = static_cast<int>(plans.size()) - 1;
+    const auto plan = plans.at(static_cast<std::size_t>(random_.draw(0, last)));
+    crowd_ = std::async(std::launch::async, [plan, address = system_.gatewayAddress()] {
+        return std::make_unique<hostile_crowd>(address, plan);
+    });
+}
+
+void client_faults::settle()
+{
+    untilMs_ = 0;
+}
+
+// Closes the connections of the crowd. Returns false if it is still sending: workers must not wait.
+bool client_faults::end()
+{
+    if (!crowd_.valid())
+        return true;
+    if (crowd_.wait_for(milliseconds {0}) != std::future_status::ready)
+        return false;
+    crowd_.get();
+    return true;
+}
+
+bool client_faults::wasActive()
+{
+    const bool active = crowd_.valid();
+    if (untilMs_ == 0)
+        end();
+    return active;
+}
+
 } // namespace persimmon::system_test
--- a/packages/system/test/soak_faults.h
+++ b/packages/system/test/soak_faults.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hostile_crowd.h"
 #include "soak_jobs.h"
 
 namespace persimmon::system_test {
@@ -99,4 +100,22 @@
     bool wasActive_ = false;
 };
 
+// Clients outside the limits that press on the gateway, one crowd after the other.
+class client_faults : public fault_source
+{
+public:
+    client_faults(batch_system &system, random_source &random);
+    void step() override;
+    void settle() override;
+    bool wasActive() override;
+
+private:
+    bool end();
+
+    batch_system &system_;
+    random_source &random_;
+    std::future<std::unique_ptr<hostile_crowd>> crowd_; // sends on a thread of its own
+    std::int64_t untilMs_ = 0;
+};
+
 } // namespace persimmon::system_test
--- a/packages/wire/include/wire/rpc_listener.h
+++ b/packages/wire/include/wire/rpc_listener.h
@@ -15,7 +15,7 @@
 // Limits of the port between processes. Sizes are in bytes.
 struct rpc_limits
 {
-    // Connections that may be open; 0: a quarter of the descriptors that the process may open.
+    // Connections that may be open; 0: an eighth of the descriptors that the process may open.
     std::size_t maxConnections = 0;
     std::uint64_t maxMessageBytes = std::uint64_t {24} * 1024 * 1024;
     // Memory that messages may hold that haven't arrived completely, all connections together.
--- a/packages/wire/src/rpc_listener.cc
+++ b/packages/wire/src/rpc_listener.cc
@@ -24,7 +24,7 @@
 // Period in which slow peers are looked for.
 constexpr milliseconds checkPeriod {1000};
 
-constexpr std::size_t descriptorsDivisor = 4; // share of the connections
+constexpr std::size_t descriptorsDivisor = 8; // share of the connections
 constexpr std::size_t maxDefaultConnections = 4096;
 
 // Calls that were received on a connection and have no response yet.
