Stop a gang that lasts before a member on an unheard worker is given up

Seen: a gang that lasts, one member of which was lost shortly before the leader, ran again 9.3 s after that, with stops of 1.4 s (bound 9 s).

Cause, from the log of the case: the rack of the member crashes, the order for it is never sent, and the leader changes. The new leader has never heard that worker, so it can't tell that another one runs at its address, and gives the run up when its lease must have ended, 5.3 s after the term began. Only then are the other members stopped, and the gang starts after that.

Change: the other members are stopped as long before that moment as a stop takes at most (missingRunLimit). A worker that reports within that time finds its gang stopped, and it starts anew; so this holds only for gangs that last, only for workers that were never heard in the term (3.7 s by then), and not for a step with a disruption budget, whose members may not be stopped before the loss is certain.

Ruled out: giving the run up sooner (the lease may still hold), and knowing the address of the lost worker (the ledger doesn't hold it).

StallFuzz gangThatLastsRunsInTimeUnderANewLeader failed before (9.3 s) and passes.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -268,6 +268,8 @@
     std::chrono::microseconds stallLimitOf(const tracked_run &run, const step_spec &spec) const;
     void findStalled(time_point now);
     void stopUnsentGangs(time_point now);
+    void stopGangsOfUnheardWorkers(time_point now);
+    milliseconds leaseLimit() const;
     void stopDraining(const worker_state &worker);
     void schedule(time_point now, std::int64_t wallMs);
     void proposeStarts(std::vector<assignment> runs, time_point now, std::int64_t wallMs);
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -51,6 +51,7 @@
     expireLeases(now, wallMs);
     findStalled(now);
     stopUnsentGangs(now);
+    stopGangsOfUnheardWorkers(now);
     schedule(now, wallMs);
     sendReadyOrders();
     removeExpired(now, wallMs);
@@ -76,10 +77,16 @@
                now + options_.missingRunLimit};
 }
 
+// Returns the time without a heartbeat after which the runs of a worker are given up.
+milliseconds controller::leaseLimit() const
+{
+    const auto lease = static_cast<double>(options_.lease.count()) * maxClockRatio;
+    return milliseconds {static_cast<std::int64_t>(lease)} + leaseMargin;
+}
+
 void controller::expireLeases(time_point now, std::int64_t wallMs)
 {
-    const auto lease = milliseconds {
-            static_cast<std::int64_t>(static_cast<double>(options_.lease.count()) * maxClockRatio)};
+    const auto limit = leaseLimit();
     std::vector<run_end> ends;
     std::vector<worker_loss> losses;
     // Workers and busy workers are both ordered by id.
@@ -91,7 +98,7 @@
         const bool gone = isKnown && isGone(found->second, now);
         // The earlier leader has extended no lease since this term began.
         const auto lastHeartbeat = isKnown ? found->second.lastHeartbeat : termStart_;
-        if (!gone && lastHeartbeat + lease + leaseMargin > now)
+        if (!gone && lastHeartbeat + limit > now)
             continue;
         std::vector<assignment> expired;
         for (const auto &[task, run] : active.runs) {
@@ -204,6 +211,38 @@
     }
 }
 
+// Stops the members of a gang that lasts if this leader has never heard the worker of one of them:
+// early enough that their stops have ended when the run of that one is given up. A gang with a
+// disruption budget isn't stopped before the loss is certain.
+void controller::stopGangsOfUnheardWorkers(time_point now)
+{
+    const auto limit = termStart_ + leaseLimit();
+    if (now < limit - options_.missingRunLimit || now >= limit)
+        return;
+    for (const auto &[worker, active] : state_.busyWorkers()) {
+        if (workers_.contains(worker))
+            continue;
+        for (const auto &[task, run] : active.runs) {
+            const auto &job = *state_.findJob(task.job);
+            const auto &spec = job.spec.steps[task.step];
+            if (!spec.gang || !spec.longRunning || spec.disruptionBudget > 0)
+                continue;
+            bool stopped = false;
+            for (std::uint32_t i = 0; i < spec.count; ++i) {
+                const task_id member {task.job, task.occurrence, task.step, i};
+                stopped |= requestStop(member, run.run, job.taskOf(member).worker);
+            }
+            if (stopped)
+                logEvent("gang.stopped",
+                         {{"job", task.job},
+                          {"task", shortName(task)},
+                          {"run", run.run},
+                          {"worker", worker},
+                          {"why", "worker not heard"}});
+        }
+    }
+}
+
 bool controller::isHeartbeatOverdue(const worker_state &worker, time_point now) const
 {
     return now - worker.lastHeartbeat > overdueLimit + heartbeatPeriod(false);
