--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -285,7 +285,8 @@
     bool isEvacuated(const std::string &worker) const;
     void logEmptiedZones(std::int64_t wallMs);
     schedule_input scheduleInput(time_point now, std::int64_t wallMs) const;
-    milliseconds leaseEnd() const;
+    void stopGangsOfUnheardWorkers(time_point now);
+    milliseconds leaseLimit() const;
     void stopDraining(const worker_state &worker);
     void schedule(time_point now, std::int64_t wallMs);
     void proposeStarts(std::vector<assignment> runs, time_point now, std::int64_t wallMs);
--- a/packages/batch/src/controller-zones.cc
+++ b/packages/batch/src/controller-zones.cc
@@ -29,7 +29,7 @@
 
 bool controller::hasHeardFleet() const
 {
-    return term_ != 0 && termStart_ + leaseEnd() < now_;
+    return term_ != 0 && termStart_ + leaseLimit() < now_;
 }
 
 bool controller::isEvacuated(const std::string &worker) const
