--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -40,8 +40,6 @@
     time_point started {}; // when this leader first received a report of the run
     std::uint32_t percent = 0;
     time_point saved {}; // when this leader received the newest checkpoint, or `started`
-    // Expected time until the end by the observed speed; nothing while there is no progress.
-    std::optional<milliseconds> remaining;
 
     work_times times() const { return {started, saved}; }
 };
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -266,12 +266,7 @@
     if (tracked == worker->second.runs.end() || tracked->second.run != run.run)
         return std::nullopt;
     const auto &known = tracked->second;
-    run_progress progress {known.started, known.percent, known.saved, std::nullopt};
-    const auto *job = state_.findJob(run.task.job);
-    if (job != nullptr && known.percent > known.firstPercent)
-        progress.remaining
-                = expectedRemaining(forecastOf(known, job->spec.steps[run.task.step], now_));
-    return progress;
+    return run_progress {known.started, known.percent, known.saved};
 }
 
 // Returns when a worker last listed a run in this term.
--- a/packages/batch/src/preemption.cc
+++ b/packages/batch/src/preemption.cc
@@ -34,6 +34,7 @@
             const auto &spec = job.spec.steps[task.step];
             if (job.ended() || job.taskOf(task).done || input_.stopping->contains({task, run.run}))
                 continue;
+            const auto progress = input_.progress(run);
             const bool urgent = job.source.priority == 0;
             if (urgent && (job.tenant.empty() || spec.longRunning))
                 continue;
@@ -61,11 +62,14 @@
             const bool worthless = !spec.longRunning
                     && input_.wallMs > detail::finalDeadlineMs(job, task.occurrence);
             // Work that is too late to have value is stopped first.
-            const auto lost = lostSeconds(run, spec);
             item.lostCoreSeconds.push_back(lostCoreSeconds(run, spec));
-            auto stopCostSeconds = worthless ? 0 : lost;
+            auto stopCostSeconds = worthless || !progress
+                    ? 0
+                    : detail::stopCostSeconds(*progress, spec, milliseconds {input_.checkpointMs},
+                                              input_.now);
             if (lastResort)
                 stopCostSeconds = lastResortPenaltySeconds;
+            item.worthless = worthless;
             item.cost += coreSeconds(spec.need, stopCostSeconds + stopPenaltySeconds);
             auto &workerVictims = victimsOn_[i];
             if (workerVictims.empty() || workerVictims.back() != victimIndex)
@@ -83,17 +87,6 @@
     std::ranges::stable_sort(byVictimCost_, {}, [&](std::size_t worker) { return costs[worker]; });
 }
 
-// Returns the working time that is lost if a run is stopped.
-double scheduler::pass::lostSeconds(const assignment &run, const step_spec &spec) const
-{
-    const auto progress = input_.progress(run);
-    if (!progress)
-        return 0;
-    const auto worked = std::chrono::duration<double>(input_.now - progress->started).count();
-    return spec.checkpointable ? std::min(worked, static_cast<double>(input_.checkpointMs) / 1000)
-                               : worked;
-}
-
 // Returns the core seconds of work that have to be done again if a run is stopped.
 double scheduler::pass::lostCoreSeconds(const assignment &run, const step_spec &spec) const
 {
@@ -216,6 +209,29 @@
             racks_, [&](const auto &rack) { return tasksInEmpty(item, rack.second) >= count; });
 }
 
+// Returns the core seconds of work that have to be done again if a unit is placed so.
+double scheduler::pass::lostBy(const std::vector<placement_option> &options) const
+{
+    std::set<std::size_t> stopped;
+    for (const auto &option : options)
+        stopped.insert(option.victims.begin(), option.victims.end());
+    double lost = 0;
+    for (const auto victimIndex : stopped) {
+        const auto &candidate = victims_[victimIndex];
+        for (const auto runLost : candidate.lostCoreSeconds)
+            lost += candidate.worthless ? 0 : runLost;
+    }
+    return lost;
+}
+
+// Returns what stopping other work is worth for a unit.
+detail::stop_gain scheduler::pass::gainOf(const unit &item)
+{
+    const auto count = static_cast<double>(item.indexes.size());
+    const auto seconds = static_cast<double>(item.spec->estimateMs) / 1000;
+    return {count * coreSeconds(item.spec->need, seconds), item.latestLateStartMs, item.guaranteed};
+}
+
 // Preempts the cheapest set of runs that frees enough resources for the unit, and claims these
 // resources. Returns false if there is no such set.
 bool scheduler::pass::preempt(const unit &item)
@@ -242,7 +258,7 @@
     // A gang that some rack could hold isn't placed anywhere else, so it claims nothing there.
     if (best.empty() && !(item.inOneRack() && someRackHolds(item)))
         best = cheapestAnywhere(item);
-    if (best.empty())
+    if (best.empty() || !detail::isWorthwhile(lostBy(best), gainOf(item), input_.wallMs))
         return false;
     auto &claimed = claims_[item.first];
     claimed.createdAt = input_.now;
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "stop_cost.h"
 #include "units.h"
 
 #include <unordered_map>
@@ -32,6 +33,7 @@
         double cost = 0; // core seconds lost, plus a penalty for each stop
         const std::string *borrower = nullptr; // tenant of urgent work; nullptr: not urgent
         bool longRunning = false;
+        bool worthless = false; // too late to have value
         bool selected = false;
     };
 
@@ -144,10 +146,11 @@
     // preemption.cc
     void collectVictims();
     bool preempt(const unit &item);
+    double lostBy(const std::vector<placement_option> &options) const;
+    static detail::stop_gain gainOf(const unit &item);
     bool someRackHolds(const unit &item) const;
     std::vector<placement_option> cheapestAnywhere(const unit &item) const;
     bool mayPreempt(const unit &item, const victim &candidate) const;
-    double lostSeconds(const assignment &run, const step_spec &spec) const;
     double lostCoreSeconds(const assignment &run, const step_spec &spec) const;
     bool isAvailable(const task_id &task) const;
     std::vector<placement_option> placementOptions(const unit &item, std::size_t worker) const;
--- a/packages/batch/src/units.cc
+++ b/packages/batch/src/units.cc
@@ -171,9 +171,9 @@
             base.spec = &spec;
             base.first = {job.id, occurrence, stepIndex, 0};
             base.latestStartMs = due + objective - toEnd[stepIndex];
-            base.preemptFromMs = preemptFromMs({due, base.latestStartMs,
-                                                finalDeadlineMs(job, occurrence) - toEnd[stepIndex],
-                                                guaranteed});
+            base.latestLateStartMs = finalDeadlineMs(job, occurrence) - toEnd[stepIndex];
+            base.preemptFromMs
+                    = preemptFromMs({due, base.latestStartMs, base.latestLateStartMs, guaranteed});
             base.patienceMs = base.preemptFromMs - due;
             // Long-running tasks have value for as long as they run.
             base.pastFinalDeadline = !spec.longRunning && wallMs > finalDeadlineMs(job, occurrence);
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -27,6 +27,7 @@
     task_id first; // task of the first index
     std::vector<std::uint32_t> indexes;
     std::int64_t latestStartMs = 0; // to meet the objective of the job, in Unix milliseconds
+    std::int64_t latestLateStartMs = 0; // to end before completing the job has no value
     std::int64_t preemptFromMs = 0; // other work is stopped for the unit from then on
     std::int64_t patienceMs = 0; // or once it has waited for this time
     bool pastFinalDeadline = false; // so late that completing it has no value
