--- a/packages/system/test/hostile-test.cc
+++ b/packages/system/test/hostile-test.cc
@@ -64,8 +64,9 @@
 void checkBeside(const hostile_plan &plan, process &target, const std::string &address,
                  const std::function<bool()> &ordinaryRequest)
 {
-    const hostile_crowd crowd(address, plan);
     const auto context = plan.name + " at " + address;
+    CHECK_TRUE_TEXT(waitUntil(hangTime, ordinaryRequest), ("no answer before " + context).c_str());
+    const hostile_crowd crowd(address, plan);
     CHECK_TRUE_TEXT(waitUntil(hangTime, ordinaryRequest), ("no answer beside " + context).c_str());
     CHECK_TRUE_TEXT(target.isAlive(), ("the process ended: " + context).c_str());
     CHECK_TRUE_TEXT(target.peakResidentKb() <= maxPeakKb,
