--- a/packages/apps/src/persimmond/main.cc
+++ b/packages/apps/src/persimmond/main.cc
@@ -2,6 +2,7 @@
 #include "apps/daemon_arguments.h"
 #include "apps/settings_check.h"
 #include "apps/stop_signals.h"
+#include "base/allocator.h"
 #include "base/log.h"
 #include "entry/entry.h"
 #include "platform/programs.h"
@@ -114,6 +115,7 @@
 
 int main(int argc, char **argv)
 {
+    returnFreedMemory();
     const std::vector<std::string> argumentList(argv, argv + argc);
     const auto arguments = apps::readDaemonArguments(argumentList);
     if (failed(arguments)) {
