Repeat orders for zones until their outcome is known

Cause: in a busy machine the process test of evacuations failed: persimmonctl gave up an order at the first unknown outcome although it may be repeated.

--- a/packages/apps/src/ctl_commands.cc
+++ b/packages/apps/src/ctl_commands.cc
@@ -173,15 +173,25 @@
         return info.exitCode;
     }
 
-    // The order may be sent again, as long as no contrary one was given.
+    static bool mayRepeat(result_code reason)
+    {
+        return reason == result_code::OutcomeUnknown || describe(reason).retryable;
+    }
+
+    // Orders for zones are idempotent, so they are repeated until their outcome is known.
     int orderZone(const std::string &method, std::string_view state)
     {
         const auto &zone = arguments_.operands[0];
-        const auto answer = sendRequest({method, "/v1/evacuations/" + zone});
+        const operator_call call {method, "/v1/evacuations/" + zone};
+        auto answer = sendRequest(call);
+        while (failed(answer) && mayRepeat(errorOf(answer).code)
+               && elapsedTime() < arguments_.timeout) {
+            std::this_thread::sleep_for(rolloutPollInterval);
+            answer = sendRequest(call);
+        }
         if (failed(answer)) {
             const auto code = reportError(errorOf(answer));
-            const auto reason = errorOf(answer).code;
-            if (reason == result_code::OutcomeUnknown || describe(reason).retryable)
+            if (mayRepeat(errorOf(answer).code))
                 errors_ << "persimmonctl: the order may still be obeyed; repeat it\n";
             return code;
         }
--- a/packages/apps/test/ctl-test.cc
+++ b/packages/apps/test/ctl-test.cc
@@ -184,9 +184,23 @@
     CHECK_TRUE(outputContains("zone north: evacuated\nzone north: open\n"));
 }
 
+// Guards against an order that is given up although it could be repeated.
+TEST(ctl, evacuationIsRepeatedUntilItsOutcomeIsKnown)
+{
+    client.answers
+            = {operator_answer {503,
+                                {},
+                                {},
+                                R"({"code":3002,"name":"outcome_unknown","detail":"","field":""})"},
+               ok("{}")};
+    LONGS_EQUAL(0, runWith("evacuate", {"north"}));
+    LONGS_EQUAL(2, client.calls.size());
+}
+
 // Guards against an order whose outcome isn't known, and which the operator takes for refused.
 TEST(ctl, evacuationWithUnknownOutcomeAsksForARepetition)
 {
+    arguments.timeout = milliseconds {200};
     client.answers = {operator_answer {
             503, {}, {}, R"({"code":3002,"name":"outcome_unknown","detail":"","field":""})"}};
     CHECK_TRUE(runWith("evacuate", {"north"}) != 0);
