Learn which kinds of task slow each other down, and keep them apart where there is room

Change: the leader compares each run with itself when a kind of neighbour (queue and step) comes or goes. Pairs with enough evidence order the workers that have room. Nothing changes while no pair is believed.

--- a/packages/apps/include/apps/batch_metrics.h
+++ b/packages/apps/include/apps/batch_metrics.h
@@ -20,6 +20,8 @@
     std::size_t jobs = 0;
     std::size_t stalledJobs = 0; // nothing of them runs although a task could start
     double longestStallSeconds = 0;
+    std::size_t interferingPairs = 0; // ordered pairs of kinds of task, one slows the other down
+    std::size_t comparedPairs = 0; // for which there is any evidence
 };
 
 // Metrics of the scheduler and gateway roles in the Prometheus text format. Job histograms are
--- a/packages/apps/src/batch_metrics.cc
+++ b/packages/apps/src/batch_metrics.cc
@@ -91,6 +91,8 @@
         setGauge("jobs", static_cast<double>(gauges.jobs));
         setGauge("stalled_jobs", static_cast<double>(gauges.stalledJobs));
         setGauge("longest_stall_seconds", gauges.longestStallSeconds);
+        setGauge("interfering_pairs", static_cast<double>(gauges.interferingPairs));
+        setGauge("compared_pairs", static_cast<double>(gauges.comparedPairs));
         return prometheus::TextSerializer {}.Serialize(registry_.Collect());
     }
 
@@ -129,10 +131,11 @@
             registry_, prometheus::BuildHistogram(), "persimmon_stage_seconds",
             "Stages from the acceptance of a job to the report of its first run, answers "
             "to heartbeats and scheduling passes");
-    prometheus::Family<prometheus::Gauge> &schedulerState_
-            = familyOf(registry_, prometheus::BuildGauge(), "persimmon_scheduler_state",
-                       "Leadership (1: leads), term, committed entries, version of the "
-                       "configuration, known workers and jobs, stalled jobs and the longest stall");
+    prometheus::Family<prometheus::Gauge> &schedulerState_ = familyOf(
+            registry_, prometheus::BuildGauge(), "persimmon_scheduler_state",
+            "Leadership (1: leads), term, committed entries, version of the "
+            "configuration, known workers and jobs, stalled jobs and the longest stall, pairs "
+            "of kinds of task that slow each other down and that were compared");
 };
 
 batch_metrics::batch_metrics()
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "batch/hold_policy.h"
+#include "batch/interference.h"
 #include "batch/latency_stage.h"
 #include "batch/ledger.h"
 #include "batch/loss_attribution.h"
@@ -140,6 +141,9 @@
     // Stalled jobs, as of the last tick.
     const stall_watch &stalls() const { return stalls_; }
 
+    // How many pairs of kinds of task are known to slow each other down.
+    interference_counts interferenceCounts() const { return interference_.counts(); }
+
 private:
     struct tracked_run
     {
@@ -149,6 +153,9 @@
         time_point lastProgress {}; // when the percentage last changed
         std::uint32_t percent = 0;
         std::string checkpoint;
+        std::optional<kind_index> kind; // nothing if it isn't told apart
+        bool serves = false; // its tail latency tells how it fares, not its progress
+        run_history history; // for the model of interference
     };
 
     struct held_answer
@@ -213,6 +220,11 @@
     void updateAddress(const worker_report &report, time_point now, std::int64_t wallMs);
     std::vector<run_end> collectEnds(worker_state &worker, time_point now);
     void updateRunning(worker_state &worker, time_point now, std::chrono::microseconds silence);
+    void observeNeighbours(worker_state &worker, std::map<task_id, tracked_run> &updated,
+                           time_point now);
+    std::optional<observed_run> observedRun(const worker_state &worker, const running_task &row,
+                                            tracked_run &tracked, time_point now);
+    void logInterference();
     void updateMissing(worker_state &worker, time_point now, std::vector<run_end> &ends) const;
     std::vector<worker_loss> endRunsOfEarlierIncarnation(const worker_state &worker,
                                                          std::vector<run_end> &ends) const;
@@ -307,6 +319,7 @@
     bool hasWaitingUrgentUnits_ = false;
     time_point nextPass_ {};
     std::int64_t lastCleanupMs_ = 0;
+    interference_model interference_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "batch/advice.h"
+#include "batch/interference.h"
 #include "batch/ledger.h"
 #include "batch/stall_watch.h"
 #include "batch/urgent_reserve.h"
@@ -49,6 +50,7 @@
     std::vector<worker_view> workers; // ordered by id
     progress_function progress;
     const stall_watch *stalls = nullptr; // stalled jobs; nullptr: none are known
+    const interference_model *interference = nullptr; // nullptr: no task slows another one down
     const std::set<std::pair<task_id, std::uint32_t>> *stopping = nullptr; // runs being stopped
     const advice_cache *advice = nullptr;
     time_point now {};
--- a/packages/batch/src/controller-tick.cc
+++ b/packages/batch/src/controller-tick.cc
@@ -51,6 +51,8 @@
     expireLeases(now, wallMs);
     findStalled(now);
     stopUnsentGangs(now);
+    interference_.expire(now);
+    logInterference();
     schedule(now, wallMs);
     sendReadyOrders();
     removeExpired(now, wallMs);
@@ -327,6 +329,7 @@
     input.workers = viewWorkers(now);
     input.progress = [this](const assignment &run) { return progressOf(run); };
     input.stalls = &stalls_;
+    input.interference = &interference_;
     input.stopping = &stopping_;
     input.advice = &advice_;
     input.now = now;
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -75,6 +75,7 @@
     scheduler_.reset();
     stalls_.clear();
     attribution_.reset();
+    interference_.reset();
     advice_ = {};
     missingTickets_.clear();
     adviceRequestInFlight_ = false;
@@ -294,7 +295,7 @@
         if (earlier != worker.runs.end() && earlier->second.run == row.run)
             tracked = earlier->second;
         else {
-            tracked = {row.run, now, row.percent, now, row.percent, {}};
+            tracked = {row.run, now, row.percent, now, row.percent, {}, {}, false, {}};
             recordReported({row.task, row.run});
         }
         if (silence > maxHeartbeatGap)
@@ -306,6 +307,7 @@
         if (!row.checkpoint.empty())
             tracked.checkpoint = row.checkpoint;
     }
+    observeNeighbours(worker, updated, now);
     worker.runs = std::move(updated);
 }
 
--- a/packages/batch/src/scheduler-pass.cc
+++ b/packages/batch/src/scheduler-pass.cc
@@ -41,6 +41,7 @@
     , beingFreed_(input.workers.size())
     , allWorkers_(input.workers.size())
     , isReserved_(input.workers.size())
+    , neighbours_(input.interference, input.workers.size())
 {
     std::iota(allWorkers_.begin(), allWorkers_.end(), std::size_t {0});
     // Workers and busy workers are both ordered by id.
@@ -54,8 +55,10 @@
         racks_[report.rack].push_back(i);
         available_[i] = report.capacity;
         available_[i] -= input.workers[i].residual;
-        if (busy != busyWorkers.end() && busy->first == report.id)
+        if (busy != busyWorkers.end() && busy->first == report.id) {
             available_[i] -= busy->second.used;
+            collectNeighbours(i, busy->second.runs);
+        }
     }
     for (const auto &[task, run] : *input.stopping)
         recordStopping(task, run);
@@ -65,6 +68,20 @@
         applyClaim(item, 1);
 }
 
+void scheduler::pass::collectNeighbours(std::size_t worker,
+                                        const std::map<task_id, assignment> &runs)
+{
+    if (!neighbours_.matter())
+        return;
+    const job_record *job = nullptr;
+    for (const auto &[task, run] : runs) {
+        if (job == nullptr || job->id != task.job)
+            job = input_.state->findJob(task.job);
+        if (job != nullptr)
+            neighbours_.add(worker, neighbours_.kindOf(job->source.name, task.step));
+    }
+}
+
 // Takes resources of a worker, or returns them if they are negative.
 void scheduler::pass::take(std::size_t worker, const amount &resources)
 {
@@ -118,6 +135,7 @@
 
 void scheduler::pass::scheduleUnit(unit &item)
 {
+    item.kind = neighbours_.kindOf(item.job->source.name, item.first.step);
     if (startsLater(item)) {
         countWaiting(item);
         output_.waits.push_back({item.first, wait_cause::Suspected});
@@ -322,8 +340,8 @@
         const auto others = item.suspected ? runCount(worker) : 0;
         return std::tuple(isKeptForOthers(worker), unproven, notPreferred, others,
                           workers[worker].penalty, workers[worker].cold,
-                          heartbeatRank(item, worker), available_[worker].accelerators, idle,
-                          available_[worker].cpu);
+                          heartbeatRank(item, worker), neighbourRank(item, worker),
+                          available_[worker].accelerators, idle, available_[worker].cpu);
     });
     keepReserve(item, found);
     return found;
@@ -338,6 +356,13 @@
     return input_.workers[worker].untilHeartbeat / soonHeartbeatLimit;
 }
 
+// Ranks a worker by what a task of the unit and those on the worker lose by each other, 0 being the
+// best. A preference among workers with room: it never makes a unit wait.
+std::int64_t scheduler::pass::neighbourRank(const unit &item, std::size_t worker) const
+{
+    return item.kind ? neighbours_.rank(*item.kind, worker) : 0;
+}
+
 // Places tasks on the workers in the given order. A gang is placed as a whole or not at all.
 std::vector<scheduler::pass::slot> scheduler::pass::fillWorkers(
         const unit &item, const std::vector<std::size_t> &from) const
@@ -445,6 +470,7 @@
             there.isolated |= item.isolated;
         }
         take(place.worker, item.spec->charged());
+        neighbours_.add(place.worker, item.kind);
         if (item.spec->maxPerWorker > 0)
             ++startedOn_[{place.worker, stepOf(id)}];
     }
--- a/packages/batch/src/scheduler-pass.h
+++ b/packages/batch/src/scheduler-pass.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "neighbours.h"
 #include "units.h"
 
 #include <unordered_map>
@@ -95,6 +96,8 @@
     std::vector<slot> fillWorkers(const unit &item, const std::vector<std::size_t> &from) const;
     void take(std::size_t worker, const amount &resources);
     std::int64_t heartbeatRank(const unit &item, std::size_t worker) const;
+    std::int64_t neighbourRank(const unit &item, std::size_t worker) const;
+    void collectNeighbours(std::size_t worker, const std::map<task_id, assignment> &runs);
     static bool suits(const unit &item, const worker_report &report);
     bool isEligible(const unit &item, std::size_t worker) const;
     void collectSuspects();
@@ -180,6 +183,7 @@
     std::map<std::string_view, pool_use> pools_;
     std::set<std::string_view> reservedRacks_;
     std::vector<bool> isReserved_; // by worker: in a reserved rack, and of use to its gang
+    detail::neighbours neighbours_;
     std::vector<unplaceable_need> unplaceableNeeds_;
     std::vector<victim> victims_;
     std::vector<std::vector<std::size_t>> victimsOn_; // by worker
--- a/packages/batch/src/units.h
+++ b/packages/batch/src/units.h
@@ -37,6 +37,7 @@
     bool keptApart = false; // takes no worker with a suspect of another job
     bool isolated = false; // takes only workers that run nothing of other jobs
     bool isLikelyCause = false; // several workers were lost under one of its tasks
+    std::optional<kind_index> kind; // only while its choice of neighbours matters
     waivers waived;
     bool startsLater = false; // waits, so that it doesn't start together with other suspects
 
--- a/packages/batch/test/scheduler-test.cc
+++ b/packages/batch/test/scheduler-test.cc
@@ -396,3 +396,107 @@
     }
     CHECK_TRUE(activeTasks("b") >= 2);
 }
+
+namespace {
+
+constexpr int comparingWorkers = 3;
+
+// Lets a model believe that tasks of the second kind slow those of the first one down.
+void teach(interference_model &model, time_point now, const task_kind &slowed,
+           const task_kind &neighbour)
+{
+    const auto first = *model.indexOf(now, slowed, false);
+    const auto second = *model.indexOf(now, neighbour, false);
+    for (int round = 0; round < 20; ++round) {
+        const auto worker = "w" + std::to_string(round % comparingWorkers + 1);
+        run_history slow;
+        run_history other;
+        std::uint32_t percent = 0;
+        for (int i = 0; i < 30; ++i) {
+            const bool beside = i >= 10 && i < 20;
+            percent += beside ? 1 : 4;
+            std::vector<observed_run> rows;
+            rows.push_back({&slow, first, false, true, false, percent, 0});
+            if (beside)
+                rows.push_back({&other, second, false, true, false, 0, 0});
+            model.observe(now, {worker, i * 250, true, rows});
+        }
+        const observed_run end {&slow, first, false, true, true, 0, 0};
+        model.observe(now, {worker, 7500, true, {&end, 1}});
+    }
+}
+
+// Plans one pass over the workers w1 to wN, without the controller.
+schedule_output planWith(leader_fixture &leader, int workers, const interference_model *model)
+{
+    std::vector<worker_report> reports;
+    for (int i = 1; i <= workers; ++i)
+        reports.push_back(leader.report("w" + std::to_string(i)));
+    const stall_watch stalls;
+    const std::set<std::pair<task_id, std::uint32_t>> stopping;
+    const advice_cache advice;
+    schedule_input input;
+    input.state = &leader.state;
+    for (const auto &report : reports)
+        input.workers.emplace_back().report = &report;
+    input.progress = [](const assignment &) { return std::optional<run_progress> {}; };
+    input.stalls = &stalls;
+    input.stopping = &stopping;
+    input.advice = &advice;
+    input.interference = model;
+    input.now = leader.now;
+    input.wallMs = leader.wallMs;
+    scheduler planner;
+    return planner.plan(input);
+}
+
+} // namespace
+
+// Guards against two kinds that disturb each other and share a worker although another has room.
+// The reverse pair isn't known: the task that comes second would be the one that disturbs.
+TEST(Scheduler, keepsKindsApartThatDisturbEachOther)
+{
+    leader.configure(1);
+    sendHeartbeats(1);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.advance(100);
+    CHECK_TRUE((workersOf("a") == std::set<std::string> {"w1"}));
+    leader.submit("/q2/b", leader_fixture::tasks(1, 1));
+    interference_model model;
+    const auto packed = planWith(leader, 2, &model);
+    CHECK_EQUAL(1, packed.starts.size());
+    STRCMP_EQUAL("w1", packed.starts.front().worker.c_str());
+    teach(model, leader.now, {"q1", 0}, {"q2", 0});
+    CHECK_TRUE(model.believesAny());
+    const auto apart = planWith(leader, 2, &model);
+    CHECK_EQUAL(1, apart.starts.size());
+    STRCMP_EQUAL("w2", apart.starts.front().worker.c_str());
+}
+
+// Guards against a task that waits because the only room is beside a kind that disturbs it.
+TEST(Scheduler, sharesAWorkerIfThereIsNoOtherRoom)
+{
+    leader.configure(1);
+    sendHeartbeats(1);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.advance(100);
+    leader.submit("/q2/b", leader_fixture::tasks(7, 1));
+    interference_model model;
+    teach(model, leader.now, {"q1", 0}, {"q2", 0});
+    CHECK_TRUE(model.believesAny());
+    CHECK_EQUAL(7, planWith(leader, 1, &model).starts.size());
+}
+
+// Guards against two disturbing kinds that are placed together in one pass, before any worker
+// reports them.
+TEST(Scheduler, keepsKindsApartThatStartInOnePass)
+{
+    leader.configure(1);
+    leader.submit("/q1/a", leader_fixture::tasks(1, 1));
+    leader.submit("/q2/b", leader_fixture::tasks(1, 1));
+    interference_model model;
+    teach(model, leader.now, {"q1", 0}, {"q2", 0});
+    const auto output = planWith(leader, 2, &model);
+    CHECK_EQUAL(2, output.starts.size());
+    CHECK_TRUE(output.starts.front().worker != output.starts.back().worker);
+}
