--- a/packages/batch/src/interference.cc
+++ b/packages/batch/src/interference.cc
@@ -257,7 +257,7 @@
     (item.arrival ? evidence.arrivals : evidence.departures).add(item.difference);
     const auto hash = std::max<std::size_t>(1, std::hash<std::string> {}(worker));
     if (std::ranges::find(evidence.workers, hash) == evidence.workers.end()) {
-        std::ranges::rotate(evidence.workers, evidence.workers.end() - 1);
+        std::rotate(evidence.workers.begin(), evidence.workers.end() - 1, evidence.workers.end());
         evidence.workers.front() = hash;
     }
     judge(item.pair, evidence);
