--- a/packages/apps/include/apps/batch_metrics.h
+++ b/packages/apps/include/apps/batch_metrics.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "batch/discarded_work.h"
 #include "batch/latency_stage.h"
-#include "batch/ledger.h"
+#include "batch/service.h"
 
 #include <memory>
 #include <string>
@@ -20,12 +21,14 @@
     std::size_t jobs = 0;
     std::size_t stalledJobs = 0; // nothing of them runs although a task could start
     double longestStallSeconds = 0;
+    std::vector<batch::service::zone_status> zones; // of the leader
     std::size_t interferingPairs = 0; // ordered pairs of kinds of task, one slows the other down
     std::size_t comparedPairs = 0; // for which there is any evidence
 };
 
 // Metrics of the scheduler and gateway roles in the Prometheus text format. Job histograms are
-// labelled by tenant and priority; tenants beyond the first 400 share the label "other".
+// labelled by tenant and priority; tenants beyond the first 400 share the label "other". Gauges of
+// zones are those of the leader, of at most 100 zones.
 class batch_metrics
 {
 public:
@@ -43,6 +46,9 @@
     // Records the duration of a stage between the acceptance of a job and its first run.
     void observeStage(batch::latency_stage stage, std::chrono::microseconds duration);
 
+    // Records work that has to be done again.
+    void observeDiscarded(const batch::discarded_work &work);
+
     std::string serialize(const scheduler_gauges &gauges);
 
 private:
--- a/packages/apps/src/batch_metrics.cc
+++ b/packages/apps/src/batch_metrics.cc
@@ -6,13 +6,16 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <set>
+#include <span>
 
 namespace persimmon::apps {
 
 namespace {
 
 constexpr std::size_t maxTenantLabels = 400;
+constexpr std::size_t maxZoneLabels = 100;
 
 // Bucket bounds in seconds; long jobs run for hours.
 const prometheus::Histogram::BucketBoundaries jobBuckets {0.25, 0.5, 1,   2.5, 5,    10,   30,
@@ -78,6 +81,17 @@
                 .Observe(std::chrono::duration<double>(duration).count());
     }
 
+    void observeDiscarded(const batch::discarded_work &work)
+    {
+        const auto &beneficiary = work.beneficiaryPriority;
+        const prometheus::Labels labels {
+                {"cause", std::string(toName(work.cause))},
+                {"priority", std::to_string(work.priority)},
+                {"for_priority", beneficiary ? std::to_string(*beneficiary) : "none"}};
+        discardedRunsTotal_.Add(labels).Increment();
+        discardedCoreSeconds_.Add(labels).Increment(work.coreSeconds);
+    }
+
     std::string serialize(const scheduler_gauges &gauges)
     {
         const auto setGauge = [this](const char *what, double value) {
@@ -93,10 +107,29 @@
         setGauge("longest_stall_seconds", gauges.longestStallSeconds);
         setGauge("interfering_pairs", static_cast<double>(gauges.interferingPairs));
         setGauge("compared_pairs", static_cast<double>(gauges.comparedPairs));
+        setZones(gauges.zones);
         return prometheus::TextSerializer {}.Serialize(registry_.Collect());
     }
 
 private:
+    // Zones that are no longer known have no gauges.
+    void setZones(std::span<const batch::service::zone_status> zones)
+    {
+        for (auto *gauge : zoneGauges_)
+            zoneState_.Remove(gauge);
+        zoneGauges_.clear();
+        const auto setGauge = [this](const std::string &zone, const char *what, double value) {
+            auto &gauge = zoneState_.Add({{"zone", zone}, {"what", what}});
+            gauge.Set(value);
+            zoneGauges_.push_back(&gauge);
+        };
+        for (const auto &zone : zones.first(std::min(zones.size(), maxZoneLabels))) {
+            setGauge(zone.name, "evacuated", zone.evacuated ? 1 : 0);
+            setGauge(zone.name, "workers", static_cast<double>(zone.use.workers));
+            setGauge(zone.name, "runs", static_cast<double>(zone.use.runs));
+        }
+    }
+
     std::string tenantLabel(const std::string &tenant)
     {
         if (tenants_.size() < maxTenantLabels)
@@ -131,11 +164,23 @@
             registry_, prometheus::BuildHistogram(), "persimmon_stage_seconds",
             "Stages from the acceptance of a job to the report of its first run, answers "
             "to heartbeats and scheduling passes");
+    prometheus::Family<prometheus::Counter> &discardedRunsTotal_
+            = familyOf(registry_, prometheus::BuildCounter(), "persimmon_discarded_runs_total",
+                       "Runs that ended early, by cause, priority of their job and of the job that "
+                       "starts instead");
+    prometheus::Family<prometheus::Counter> &discardedCoreSeconds_ = familyOf(
+            registry_, prometheus::BuildCounter(), "persimmon_discarded_core_seconds_total",
+            "Work of these runs that has to be done again (an accelerator counts as 8 cores)");
     prometheus::Family<prometheus::Gauge> &schedulerState_ = familyOf(
             registry_, prometheus::BuildGauge(), "persimmon_scheduler_state",
             "Leadership (1: leads), term, committed entries, version of the "
             "configuration, known workers and jobs, stalled jobs and the longest stall, pairs "
             "of kinds of task that slow each other down and that were compared");
+    prometheus::Family<prometheus::Gauge> &zoneState_
+            = familyOf(registry_, prometheus::BuildGauge(), "persimmon_zone_state",
+                       "On the leader, by availability zone: 1 if it is evacuated, its workers and "
+                       "their active runs");
+    std::vector<prometheus::Gauge *> zoneGauges_;
 };
 
 batch_metrics::batch_metrics()
@@ -160,6 +205,11 @@
     implementation_->observeStage(stage, duration);
 }
 
+void batch_metrics::observeDiscarded(const batch::discarded_work &work)
+{
+    implementation_->observeDiscarded(work);
+}
+
 std::string batch_metrics::serialize(const scheduler_gauges &gauges)
 {
     return implementation_->serialize(gauges);
--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -85,6 +85,9 @@
     // Sets the function that receives the durations of the stages that this class observes.
     void onLatency(latency_observer observer) { observeLatency_ = std::move(observer); }
 
+    // Sets the function that is told of work that has to be done again.
+    void onDiscardedWork(discard_observer observer) { observeDiscarded_ = std::move(observer); }
+
     // Handles a heartbeat. The callback runs after the reported ends are committed. Fails with
     // NotLeader or with the error of the commit. Orders with a `holdMs` may be held for that time;
     // orders that become ready meanwhile replace them. A heartbeat that is repeated, because its
@@ -121,15 +124,25 @@
     // Returns the state of the newest worker on each machine that has sent a heartbeat, by machine.
     std::map<std::string, machine_status> machineStatuses(time_point now) const;
 
-    // Workers of an availability zone that have not left, and their active runs.
+    // Use of an availability zone by this leader's knowledge.
     struct zone_use
     {
-        std::size_t workers = 0;
-        std::size_t runs = 0;
+        std::size_t workers = 0; // that have not left
+        std::size_t runs = 0; // active ones of all workers that were heard
     };
 
     zone_use zoneUse(std::string_view zone) const;
 
+    // Returns the use of all availability zones that workers have reported, by name.
+    std::map<std::string, zone_use> zoneUses() const;
+
+    // Returns whether this leader has led for long enough to have heard all workers that hold a
+    // lease.
+    bool hasHeardFleet() const;
+
+    // Returns why units of a job wait for a worker now. The work is that of a scheduling pass.
+    std::vector<stall_cause> waitsOf(const std::string &job) const;
+
     // Sets the machines whose workers get no new tasks.
     void cordonMachines(std::set<std::string> machines);
 
@@ -153,6 +166,7 @@
         time_point lastProgress {}; // when the percentage last changed
         std::uint32_t percent = 0;
         std::string checkpoint;
+        time_point saved {}; // when the checkpoint last changed, or the first report
         std::optional<kind_index> kind; // nothing if it isn't told apart
         bool serves = false; // its tail latency tells how it fares, not its progress
         run_history history; // for the model of interference
@@ -174,6 +188,15 @@
         time_point until {}; // a stop ends before
     };
 
+    // Successive heartbeats that were refused because they seemed to be delayed in transit.
+    struct refused_series
+    {
+        time_point since {}; // arrival of the first one
+        time_point newest {}; // arrival of the newest one
+        std::uint64_t sequence = 0; // of the newest one
+        std::int64_t clockMs = 0; // of the newest one
+    };
+
     // Incarnation of a worker that was followed by a newer one.
     struct earlier_incarnation
     {
@@ -203,6 +226,7 @@
         pacer pace;
         bool paceReduced = false; // a pace below 100 % was ordered
         std::optional<held_answer> held; // of the newest heartbeat
+        std::optional<refused_series> refused; // since the newest heartbeat
     };
 
     bool isAvailable(const task_id &task) const;
@@ -210,11 +234,13 @@
     bool isHeartbeatOverdue(const worker_state &worker, time_point now) const;
     bool isSchedulable(const worker_state &worker, time_point now) const;
     bool isStale(const worker_state &worker, const worker_report &report) const;
-    std::optional<worker_orders> refuse(const worker_report &report, time_point now) const;
+    std::optional<worker_orders> refuse(const worker_report &report, time_point now);
     worker_state &recordHeartbeat(time_point now, std::int64_t wallMs, const worker_report &report);
     void resetTermState();
     bool isFromBeforeDeparture(const worker_state &worker, const worker_report &report) const;
     bool isLate(const worker_state &worker, const worker_report &report, time_point now) const;
+    static bool hasAnsweredRefusals(worker_state &worker, const worker_report &report,
+                                    time_point now);
     void updateClockOffset(worker_state &worker, time_point now, std::int64_t wallMs,
                            bool first) const;
     void updateAddress(const worker_report &report, time_point now, std::int64_t wallMs);
@@ -268,6 +294,10 @@
     std::chrono::microseconds stallLimitOf(const tracked_run &run, const step_spec &spec) const;
     void findStalled(time_point now);
     void stopUnsentGangs(time_point now);
+    bool isEvacuated(const std::string &worker) const;
+    void logEmptiedZones(std::int64_t wallMs);
+    schedule_input scheduleInput(time_point now, std::int64_t wallMs) const;
+    milliseconds leaseEnd() const;
     void stopDraining(const worker_state &worker);
     void schedule(time_point now, std::int64_t wallMs);
     void proposeStarts(std::vector<assignment> runs, time_point now, std::int64_t wallMs);
@@ -282,6 +312,9 @@
     void removeGoneWorkers(time_point now);
     std::optional<run_progress> progressOf(const assignment &run) const;
     std::vector<worker_view> viewWorkers(time_point now) const;
+    static run_forecast forecastOf(const tracked_run &run, const step_spec &spec, time_point now);
+    void recordPreemption(const preemption &item);
+    void recordDiscarded(discard_cause cause, const assignment &run) const;
 
     const ledger &state_;
     controller_options options_;
@@ -319,8 +352,11 @@
     bool hasWaitingUrgentUnits_ = false;
     time_point nextPass_ {};
     std::int64_t lastCleanupMs_ = 0;
+    std::set<std::string> emptiedZones_; // evacuated, and nothing runs there any more
+    std::int64_t wallMs_ = 0; // of the newest tick
     interference_model interference_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    discard_observer observeDiscarded_ = [](const discarded_work &) {};
 };
 
 } // namespace persimmon::batch
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -19,6 +19,10 @@
 // A heartbeat that was in transit for longer than this is ignored: its answer would come too late.
 constexpr std::int64_t maxTransitMs = 1000;
 
+// A worker that gets no answer to a heartbeat sends the next one a second later. One that comes
+// sooner, by a clock that may be slow, was sent after an answer to the one before.
+constexpr std::int64_t maxAnsweredGapMs = 900;
+
 // From the loss of a leader to the term of the next one, about.
 constexpr milliseconds electionTime {1000};
 
@@ -86,6 +90,7 @@
     commitOutcomeUnknown_ = false;
     hasWaitingUnits_ = false;
     hasWaitingUrgentUnits_ = false;
+    emptiedZones_.clear();
 }
 
 bool controller::isStale(const worker_state &worker, const worker_report &report) const
@@ -107,14 +112,15 @@
 
 // Returns an answer without a lease for a heartbeat that is older than the newest one or was
 // delayed in transit.
-std::optional<worker_orders> controller::refuse(const worker_report &report, time_point now) const
+std::optional<worker_orders> controller::refuse(const worker_report &report, time_point now)
 {
     const auto found = workers_.find(report.id);
     if (found == workers_.end())
         return std::nullopt;
     const bool stale
             = isStale(found->second, report) || isFromBeforeDeparture(found->second, report);
-    if (!stale && !isLate(found->second, report, now))
+    if (!stale
+        && (!isLate(found->second, report, now) || hasAnsweredRefusals(found->second, report, now)))
         return std::nullopt;
     logEvent(stale ? "worker.stale_heartbeat" : "worker.late_heartbeat",
              {{"worker", report.id}, {"born", report.incarnation}, {"sequence", report.sequence}});
@@ -208,6 +214,7 @@
     worker.leftAt.reset();
     worker.replaced = false;
     worker.held.reset();
+    worker.refused.reset();
     updateRunning(worker, now, silence);
     updateResidual(worker, now);
     updatePace(worker, now);
@@ -228,6 +235,29 @@
     return offset > worker.clockOffsetMs + drift + maxTransitMs;
 }
 
+// Returns whether a worker whose heartbeats seem to be late follows the answers to them, and takes
+// its clock as it is then: it has stood still while the machine was suspended. A heartbeat that
+// follows the answer to the one before is no older than the arrival of that one. As an answer may
+// come from elsewhere once, it takes a series of them for longer than a delay that matters.
+bool controller::hasAnsweredRefusals(worker_state &worker, const worker_report &report,
+                                     time_point now)
+{
+    constexpr milliseconds maxTransit {maxTransitMs};
+    auto &series = worker.refused;
+    if (series && report.sequence <= series->sequence)
+        return false;
+    const bool follows = series && report.clockMs - series->clockMs <= maxAnsweredGapMs
+            && now - series->newest <= maxTransit;
+    const auto since = follows ? series->since : now;
+    series = {since, now, report.sequence, report.clockMs};
+    if (now - since <= maxTransit)
+        return false;
+    worker.clockOffsetMs = millisecondsOf(now.time_since_epoch()) - report.clockMs;
+    logEvent("worker.clock_stood_still",
+             {{"worker", report.id}, {"born", report.incarnation}, {"sequence", report.sequence}});
+    return true;
+}
+
 // The first heartbeat of an incarnation can't be compared with an earlier one. The worker's clock
 // is confirmed if the age of that heartbeat by wall-clock time is small, otherwise by the next
 // heartbeat.
@@ -295,7 +325,8 @@
         if (earlier != worker.runs.end() && earlier->second.run == row.run)
             tracked = earlier->second;
         else {
-            tracked = {row.run, now, row.percent, now, row.percent, {}, {}, false, {}};
+            tracked = {row.run,        now, row.percent, now,   row.percent,
+                       row.checkpoint, now, {},          false, {}};
             recordReported({row.task, row.run});
         }
         if (silence > maxHeartbeatGap)
@@ -304,8 +335,10 @@
             tracked.percent = row.percent;
             tracked.lastProgress = now;
         }
-        if (!row.checkpoint.empty())
+        if (!row.checkpoint.empty() && tracked.checkpoint != row.checkpoint) {
             tracked.checkpoint = row.checkpoint;
+            tracked.saved = now;
+        }
     }
     observeNeighbours(worker, updated, now);
     worker.runs = std::move(updated);
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -25,7 +25,10 @@
 constexpr milliseconds acceptPause {100};
 
 // Time for the requests in progress to be answered when a listener closes.
-constexpr milliseconds closeTimeout {2000};
+constexpr milliseconds closeTimeout {500};
+
+// Size of the system's buffers of a connection, which count towards the memory of the process.
+constexpr int socketBufferBytes = 65536;
 
 net::ip::tcp::endpoint endpointOf(const std::string &address)
 {
@@ -60,6 +63,9 @@
         const auto endpoint = endpointOf(options_.address);
         socket_.open(endpoint.protocol());
         socket_.set_option(net::socket_base::reuse_address(true));
+        error_code ignored; // connections inherit the sizes, where the system supports them
+        socket_.set_option(net::socket_base::receive_buffer_size(socketBufferBytes), ignored);
+        socket_.set_option(net::socket_base::send_buffer_size(socketBufferBytes), ignored);
         socket_.bind(endpoint);
         socket_.listen(net::socket_base::max_listen_connections);
         net::post(strand(), [self = shared_from_this()] { self->accept(); });
@@ -103,12 +109,14 @@
         if (!socket_.is_open())
             return;
         if (failure) {
-            logFor("http")->warn("accepting a connection failed: {}", failure.message());
+            if (!std::exchange(failing_, true))
+                logFor("http")->warn("accepting connections fails: {}", failure.message());
             pauseTimer_.expires_after(acceptPause);
             pauseTimer_.async_wait(
                     [self = shared_from_this()](const error_code &) { self->accept(); });
             return;
         }
+        failing_ = false;
         serve(std::move(opened));
         accept();
     }
@@ -191,6 +199,7 @@
     net::steady_timer checkTimer_;
     net::steady_timer pauseTimer_;
     std::set<client_id> clients_;
+    bool failing_ = false; // the last connection could not be accepted
     std::shared_ptr<std::promise<void>> closed_;
 };
 
