--- a/packages/apps/src/batch_metrics.cc
+++ b/packages/apps/src/batch_metrics.cc
@@ -105,6 +105,8 @@
         setGauge("jobs", static_cast<double>(gauges.jobs));
         setGauge("stalled_jobs", static_cast<double>(gauges.stalledJobs));
         setGauge("longest_stall_seconds", gauges.longestStallSeconds);
+        setGauge("interfering_pairs", static_cast<double>(gauges.interferingPairs));
+        setGauge("compared_pairs", static_cast<double>(gauges.comparedPairs));
         setZones(gauges.zones);
         return prometheus::TextSerializer {}.Serialize(registry_.Collect());
     }
@@ -169,10 +171,11 @@
     prometheus::Family<prometheus::Counter> &discardedCoreSeconds_ = familyOf(
             registry_, prometheus::BuildCounter(), "persimmon_discarded_core_seconds_total",
             "Work of these runs that has to be done again (an accelerator counts as 8 cores)");
-    prometheus::Family<prometheus::Gauge> &schedulerState_
-            = familyOf(registry_, prometheus::BuildGauge(), "persimmon_scheduler_state",
-                       "Leadership (1: leads), term, committed entries, version of the "
-                       "configuration, known workers and jobs, stalled jobs and the longest stall");
+    prometheus::Family<prometheus::Gauge> &schedulerState_ = familyOf(
+            registry_, prometheus::BuildGauge(), "persimmon_scheduler_state",
+            "Leadership (1: leads), term, committed entries, version of the "
+            "configuration, known workers and jobs, stalled jobs and the longest stall, pairs "
+            "of kinds of task that slow each other down and that were compared");
     prometheus::Family<prometheus::Gauge> &zoneState_
             = familyOf(registry_, prometheus::BuildGauge(), "persimmon_zone_state",
                        "On the leader, by availability zone: 1 if it is evacuated, its workers and "
--- a/packages/batch/src/controller-losses.cc
+++ b/packages/batch/src/controller-losses.cc
@@ -214,4 +214,36 @@
             });
 }
 
+// Stops the members of a gang that lasts if this leader has never heard the worker of one of them:
+// early enough that their stops have ended when the run of that one is given up. A gang with a
+// disruption budget isn't stopped before the loss is certain.
+void controller::stopGangsOfUnheardWorkers(time_point now)
+{
+    const auto limit = termStart_ + leaseLimit();
+    if (now < limit - options_.missingRunLimit || now >= limit)
+        return;
+    for (const auto &[worker, active] : state_.busyWorkers()) {
+        if (workers_.contains(worker))
+            continue;
+        for (const auto &[task, run] : active.runs) {
+            const auto &job = *state_.findJob(task.job);
+            const auto &spec = job.spec.steps[task.step];
+            if (!spec.gang || !spec.longRunning || spec.disruptionBudget > 0)
+                continue;
+            bool stopped = false;
+            for (std::uint32_t i = 0; i < spec.count; ++i) {
+                const task_id member {task.job, task.occurrence, task.step, i};
+                stopped |= requestStop(member, run.run, job.taskOf(member).worker);
+            }
+            if (stopped)
+                logEvent("gang.stopped",
+                         {{"job", task.job},
+                          {"task", shortName(task)},
+                          {"run", run.run},
+                          {"worker", worker},
+                          {"why", "worker not heard"}});
+        }
+    }
+}
+
 } // namespace persimmon::batch
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -79,6 +79,7 @@
     scheduler_.reset();
     stalls_.clear();
     attribution_.reset();
+    interference_.reset();
     advice_ = {};
     missingTickets_.clear();
     adviceRequestInFlight_ = false;
@@ -324,7 +325,8 @@
         if (earlier != worker.runs.end() && earlier->second.run == row.run)
             tracked = earlier->second;
         else {
-            tracked = {row.run, now, row.percent, now, row.percent, row.checkpoint, now};
+            tracked = {row.run,        now, row.percent, now,   row.percent,
+                       row.checkpoint, now, {},          false, {}};
             recordReported({row.task, row.run});
         }
         if (silence > maxHeartbeatGap)
@@ -338,6 +340,7 @@
             tracked.saved = now;
         }
     }
+    observeNeighbours(worker, updated, now);
     worker.runs = std::move(updated);
 }
 
