Tell the evacuation of a zone from the vacating of a worker, and keep one time for a replacement

Cause: evacuate meant two things in the code, and the time that a replacement takes stood twice (lastStopMs, stopMs). Change: controller::vacate stops the runs of one worker; replacementMs serves both. No behaviour changes.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -147,7 +147,7 @@
     void cordonMachines(std::set<std::string> machines);
 
     // Stops all runs of a worker, except those protected by a disruption budget.
-    void evacuate(const std::string &worker);
+    void vacate(const std::string &worker);
 
     std::size_t workerCount() const { return workers_.size(); }
 
--- a/packages/batch/include/batch/maintenance.h
+++ b/packages/batch/include/batch/maintenance.h
@@ -80,9 +80,9 @@
     void cordonNext(const wave_record &wave, time_point now);
     controller::machine_status statusOf(const std::string &machine) const;
     bool isDown(const wave_record &wave, const std::string &machine) const;
-    milliseconds evacuationTime(const wave_record &wave) const;
-    void evacuateMachine(const wave_record &wave, const std::string &machine,
-                         const controller::machine_status &view, time_point now);
+    milliseconds vacateTime(const wave_record &wave) const;
+    void vacateMachine(const wave_record &wave, const std::string &machine,
+                       const controller::machine_status &view, time_point now);
     void sendOrder(const key &target, time_point now);
     void handleOutcome(const key &target, const result<upkeep_outcome> &outcome);
     void commit(const key &target, upkeep_phase phase, std::int64_t incarnation);
--- a/packages/batch/src/controller-machines.cc
+++ b/packages/batch/src/controller-machines.cc
@@ -47,7 +47,7 @@
     return tracked != worker->second.runs.end() && tracked->second.percent >= 100;
 }
 
-void controller::evacuate(const std::string &worker)
+void controller::vacate(const std::string &worker)
 {
     for (const auto &[task, run] : state_.runsOn(worker)) {
         const auto &job = *state_.findJob(task.job);
--- a/packages/batch/src/maintenance.cc
+++ b/packages/batch/src/maintenance.cc
@@ -114,7 +114,7 @@
     }
     if (state.phase == upkeep_phase::Waiting) {
         if (progress_.contains(target) && !progress_[target].committing)
-            evacuateMachine(wave, machine, view, now);
+            vacateMachine(wave, machine, view, now);
         return;
     }
     auto &item = progress_[target];
@@ -141,19 +141,19 @@
 
 // Orders the upkeep of a machine as soon as it has no runs. Active runs get some time to end by
 // themselves before they are stopped.
-void maintenance::evacuateMachine(const wave_record &wave, const std::string &machine,
-                                  const controller::machine_status &view, time_point now)
+void maintenance::vacateMachine(const wave_record &wave, const std::string &machine,
+                                const controller::machine_status &view, time_point now)
 {
     const key target {wave.spec.id, machine};
     if (view.runs == 0 && now > termStart_ + options_.orderLease)
         return commit(target, upkeep_phase::Ordered, view.incarnation);
-    if (view.runs > 0 && now > progress_[target].cordonedAt + evacuationTime(wave))
-        workers_.evacuate(view.worker);
+    if (view.runs > 0 && now > progress_[target].cordonedAt + vacateTime(wave))
+        workers_.vacate(view.worker);
 }
 
 // Returns the time that the runs on a machine get to end by themselves, so that the wave keeps its
 // target duration. Machines are processed in groups of atOnce.
-milliseconds maintenance::evacuationTime(const wave_record &wave) const
+milliseconds maintenance::vacateTime(const wave_record &wave) const
 {
     const auto atOnce = std::max(1U, wave.spec.atOnce);
     const auto groups = static_cast<std::int64_t>((wave.machines.size() + atOnce - 1) / atOnce);
--- a/packages/batch/src/preemption_timing.cc
+++ b/packages/batch/src/preemption_timing.cc
@@ -6,10 +6,6 @@
 
 namespace {
 
-// From the decision to stop a run to the start of another one in its place: the order to stop, the
-// stop itself, the commit of its end and of the start, and the order to start.
-constexpr std::int64_t stopMs = 1500;
-
 // A unit waits no longer than this, because declared durations are rough.
 constexpr std::int64_t maxPatienceMs = 1500;
 
@@ -20,9 +16,9 @@
 
 std::int64_t preemptFromMs(const urgent_times &unit)
 {
-    const bool canBeInTime = unit.dueMs + stopMs <= unit.latestStartMs;
+    const bool canBeInTime = unit.dueMs + replacementMs <= unit.latestStartMs;
     const auto target = canBeInTime ? unit.latestStartMs : unit.latestLateStartMs;
-    const auto slack = std::max<std::int64_t>(0, target - stopMs - unit.dueMs);
+    const auto slack = std::max<std::int64_t>(0, target - replacementMs - unit.dueMs);
     return unit.dueMs
             + std::min(slack / 2, unit.guaranteed ? maxGuaranteedPatienceMs : maxPatienceMs);
 }
--- a/packages/batch/src/preemption_timing.h
+++ b/packages/batch/src/preemption_timing.h
@@ -6,6 +6,11 @@
 
 namespace persimmon::batch::detail {
 
+// Time from the decision to stop a run to the start of another one in its place, in milliseconds:
+// the order to stop, the stop itself, the commit of its end and of the start, and the order to
+// start.
+constexpr std::int64_t replacementMs = 1500;
+
 // Times of an urgent unit, in Unix milliseconds.
 struct urgent_times
 {
--- a/packages/batch/src/stop_cost.cc
+++ b/packages/batch/src/stop_cost.cc
@@ -1,14 +1,13 @@
 #include "stop_cost.h"
 
+#include "preemption_timing.h"
+
 #include <algorithm>
 
 namespace persimmon::batch::detail {
 
 namespace {
 
-// Urgent tasks stop other work at the latest this long before they would be too late.
-constexpr std::int64_t lastStopMs = 1500;
-
 // Tasks may work for this many times their declared length.
 constexpr double declaredLengthFactor = 3;
 
@@ -24,7 +23,7 @@
 
 bool isWorthwhile(double lostCoreSeconds, const stop_gain &gain, std::int64_t wallMs)
 {
-    if (gain.guaranteed || wallMs >= gain.latestLateStartMs - lastStopMs)
+    if (gain.guaranteed || wallMs >= gain.latestLateStartMs - replacementMs)
         return true;
     return lostCoreSeconds <= declaredLengthFactor * gain.coreSeconds;
 }
