Mend what the linter finds in the merged parts

Cause: the whole lint run found five points: two widening multiplications, a copied parameter, a copied element, a hidden overload.

--- a/packages/batch/test/scheduler-test.cc
+++ b/packages/batch/test/scheduler-test.cc
@@ -419,7 +419,7 @@
             rows.push_back({&slow, first, false, true, false, percent, 0});
             if (beside)
                 rows.push_back({&other, second, false, true, false, 0, 0});
-            model.observe(now, {worker, i * 250, true, rows});
+            model.observe(now, {worker, std::int64_t {i} * 250, true, rows});
         }
         const observed_run end {&slow, first, false, true, true, 0, 0};
         model.observe(now, {worker, 7500, true, {&end, 1}});
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -112,7 +112,7 @@
         if (!owner)
             return;
         net::post(owner->registry_.strand(),
-                  [owner, value = std::move(value)]() mutable { owner->answer(std::move(value)); });
+                  [owner, value = std::move(value)] { owner->answer(value); });
     }
 
 private:
@@ -227,7 +227,7 @@
                      [pending](response value) { pending->send(std::move(value)); });
 }
 
-void connection::answer(response value)
+void connection::answer(const response &value)
 {
     if (stage_ != stage::Answering)
         return;
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -62,7 +62,7 @@
     void discard();
     void process(std::string_view bytes);
     void dispatch();
-    void answer(response value);
+    void answer(const response &value);
     void send(const response &value, bool closeAfter);
     void afterSend(bool closeAfter);
     void linger();
--- a/packages/http/test/listener-test.cc
+++ b/packages/http/test/listener-test.cc
@@ -69,7 +69,7 @@
     }
 
     // Runs the loop while a client works on a thread of its own.
-    void run(const std::function<void()> &work)
+    void runBeside(const std::function<void()> &work)
     {
         std::thread caller([&] {
             work();
@@ -89,7 +89,7 @@
     std::string exchange(const std::string &bytes)
     {
         std::string received;
-        run([&] { received = exchangeBeside(bytes); });
+        runBeside([&] { received = exchangeBeside(bytes); });
         return received;
     }
 
@@ -131,7 +131,7 @@
 {
     std::string interim;
     std::string answer;
-    run([&] {
+    runBeside([&] {
         const raw_client client(port);
         client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
                     "Expect: 100-continue\r\nConnection: close\r\n\r\n");
@@ -161,7 +161,7 @@
     std::string dropped;
     std::string twice;
     std::string thrown;
-    run([&] {
+    runBeside([&] {
         dropped = exchangeBeside(get("/drop"));
         twice = exchangeBeside(get("/twice") + get("/b", "Connection: close\r\n"));
         thrown = exchangeBeside(get("/throw", "Connection: close\r\n"));
@@ -176,7 +176,7 @@
 TEST(http_listener, closingWaitsForResponses)
 {
     std::string answer;
-    run([&] {
+    runBeside([&] {
         const raw_client client(port);
         client.send(get("/keep"));
         waitForRequests(1);
@@ -194,7 +194,7 @@
 TEST(http_listener, closingRefusesUnfinishedRequests)
 {
     std::string answer;
-    run([&] {
+    runBeside([&] {
         const raw_client client(port);
         client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
         std::this_thread::sleep_for(milliseconds {50});
@@ -209,7 +209,7 @@
 // Guards against a stop that never ends, and a crash by a reply that comes after it.
 TEST(http_listener, closingEndsAlsoWithoutTheReply)
 {
-    run([&] {
+    runBeside([&] {
         const raw_client client(port);
         client.send(get("/keep"));
         waitForRequests(1);
--- a/packages/system/test/soak_faults.cc
+++ b/packages/system/test/soak_faults.cc
@@ -223,7 +223,7 @@
     ++begun_;
     const auto plans = hostileRequests();
     const auto last = static_cast<int>(plans.size()) - 1;
-    const auto plan = plans.at(static_cast<std::size_t>(random_.draw(0, last)));
+    const auto &plan = plans.at(static_cast<std::size_t>(random_.draw(0, last)));
     crowd_ = std::async(std::launch::async, [plan, address = system_.gatewayAddress()] {
         return std::make_unique<hostile_crowd>(address, plan);
     });
--- a/packages/wire/test/rpc_listener-test.cc
+++ b/packages/wire/test/rpc_listener-test.cc
@@ -126,7 +126,7 @@
     listen(limits);
     CHECK_TRUE(call(200 * kibibyte));
     CHECK_FALSE(call(300 * kibibyte));
-    sendPart(1024 * 1024 * kibibyte, 0);
+    sendPart(kibibyte * kibibyte * kibibyte, 0);
     pass(milliseconds {100});
     LONGS_EQUAL(0, opened->connectionCount());
     CHECK_TRUE(call(10));
