--- a/packages/batch/test/evacuation-test.cc
+++ b/packages/batch/test/evacuation-test.cc
@@ -37,6 +37,18 @@
         leader.advance(100);
         return starts + leader.sendNextHeartbeat(value).starts.size();
     }
+
+    // Lets a worker start the task that waits, and returns a heartbeat in which it is running.
+    worker_report startWaitingTask(worker_report value)
+    {
+        leader.sendHeartbeat(value);
+        leader.advance(100);
+        const auto orders = leader.sendNextHeartbeat(value);
+        CHECK_EQUAL(1, orders.starts.size());
+        value.running.push_back({orders.starts.at(0).task, orders.starts.at(0).run, "", 10, 0});
+        leader.sendNextHeartbeat(value);
+        return value;
+    }
 };
 
 // Guards against an evacuation that is lost with the leader's memory or by a snapshot.
@@ -137,13 +149,7 @@
 {
     leader.configure(1);
     leader.submit("/q1/a", leader_fixture::tasks(1, 1));
-    leader.sendHeartbeat(report("w1", "north"));
-    leader.advance(100);
-    const auto orders = leader.sendHeartbeat(report("w1", "north"));
-    CHECK_EQUAL(1, orders.starts.size());
-    auto running = report("w1", "north");
-    running.running.push_back({orders.starts[0].task, orders.starts[0].run, "", 10, 0});
-    leader.sendHeartbeat(running);
+    const auto running = startWaitingTask(report("w1", "north"));
     CHECK_FALSE(failed(evacuate("north")));
     leader.advance(100);
     CHECK_EQUAL(0, leader.sendNextHeartbeat(running).stops.size());
@@ -191,13 +197,7 @@
 {
     leader.configure(0);
     leader.submit("/q2/a", leader_fixture::tasks(1, 8));
-    leader.sendHeartbeat(report("w1", "north"));
-    leader.advance(100);
-    const auto orders = leader.sendHeartbeat(report("w1", "north"));
-    CHECK_EQUAL(1, orders.starts.size());
-    auto running = report("w1", "north");
-    running.running.push_back({orders.starts[0].task, orders.starts[0].run, "", 10, 0});
-    leader.sendHeartbeat(running);
+    const auto running = startWaitingTask(report("w1", "north"));
     CHECK_FALSE(failed(evacuate("north")));
     leader.submit("/q0/b", leader_fixture::pressingTasks(1, 8));
     // For less time than a run without progress is left on its worker.
