--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,5 +1,5 @@
-// Two tenants hand in a job under the same id, each to a queue of its own, while commits are held up. Both are told that
-// their job is accepted, but only the first one is stored.
+// Two tenants hand in a job under the same id, each to a queue of its own, while commits are held
+// up. Both are told that their job is accepted, but only the first one is stored.
 
 #include "case.h"
 
@@ -20,7 +20,8 @@
         options.address = system.schedulers[0].ip + ":" + std::to_string(9000 + i);
         workers.push_back(std::make_unique<worker>(log, book, options, system.controlAddresses()));
     }
-    if (!configure(log, system.schedulers[0].address, 1, {{"one", "/one/", 1, 3}, {"two", "/two/", 1, 3}}))
+    if (!configure(log, system.schedulers[0].address, 1,
+                   {{"one", "/one/", 1, 3}, {"two", "/two/", 1, 3}}))
         return 2;
     for (auto &item : workers)
         item->start();
@@ -47,9 +48,11 @@
             for (auto *item : frozen)
                 system.signal(*item, SIGSTOP);
         }
-        std::thread other([&] { first = one.submit(system.gateways[0].address, "/one/" + path, body); });
+        std::thread other(
+                [&] { first = one.submit(system.gateways[0].address, "/one/" + path, body); });
         sleepMs(100);
-        std::thread later([&] { second = two.submit(system.gateways[1].address, "/two/" + path, body); });
+        std::thread later(
+                [&] { second = two.submit(system.gateways[1].address, "/two/" + path, body); });
         sleepMs(200);
         if (trouble) {
             for (auto *item : frozen)
--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,5 +1,6 @@
-// A rack of workers is restarted under the same ids while its link to one node is bad. The DELETE of an earlier life
-// arrives late and is taken for one of the new life, whose runs are then started again elsewhere while they run on.
+// A rack of workers is restarted under the same ids while its link to one node is bad. The DELETE
+// of an earlier life arrives late and is taken for one of the new life, whose runs are then started
+// again elsewhere while they run on.
 
 #include "case.h"
 
@@ -25,12 +26,14 @@
         for (std::size_t k = i + 1; k < runs.size(); ++k) {
             const auto &a = runs[i];
             const auto &b = runs[k];
-            if (a.task != b.task || a.worker == b.worker || (a.endedMs >= 0 && a.endedMs <= b.startedMs))
+            if (a.task != b.task || a.worker == b.worker
+                || (a.endedMs >= 0 && a.endedMs <= b.startedMs))
                 continue;
             ++found;
-            log.line("two runs of " + a.task + " at the same time: run " + std::to_string(a.run) + " on " + a.worker
-                     + " from " + std::to_string(a.startedMs) + " to " + std::to_string(a.endedMs) + ", run "
-                     + std::to_string(b.run) + " on " + b.worker + " from " + std::to_string(b.startedMs) + " to "
+            log.line("two runs of " + a.task + " at the same time: run " + std::to_string(a.run)
+                     + " on " + a.worker + " from " + std::to_string(a.startedMs) + " to "
+                     + std::to_string(a.endedMs) + ", run " + std::to_string(b.run) + " on "
+                     + b.worker + " from " + std::to_string(b.startedMs) + " to "
                      + std::to_string(b.endedMs));
         }
     }
@@ -90,10 +93,13 @@
             return 2;
         sleepMs(drainedAt - 700 - nowMs());
         link.untilMs = nowMs() + badForMs;
-        log.line("the link of rack r5 to " + link.node + " is bad for " + std::to_string(badForMs) + " ms");
+        log.line("the link of rack r5 to " + link.node + " is bad for " + std::to_string(badForMs)
+                 + " ms");
         sleepMs(1300);
         const auto path = "/jobs/00000000000000f" + name;
-        if (one.submit(gateway, path, consumer::job("work=30000", {{8, 60000, 120000, 8, 30000, false, "b"}})) != 200)
+        if (one.submit(gateway, path,
+                       consumer::job("work=30000", {{8, 60000, 120000, 8, 30000, false, "b"}}))
+            != 200)
             return 2;
         for (auto &item : restarts)
             item.join();
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -1,4 +1,5 @@
-// A consumer leaves a gateway that is frozen and cancels its job by another one. The gateway wakes, and the job runs.
+// A consumer leaves a gateway that is frozen and cancels its job by another one. The gateway wakes,
+// and the job runs.
 
 #include "case.h"
 
@@ -30,7 +31,8 @@
     sleepMs(2000);
     consumer one(log, "key-one");
     const std::string path = "/jobs/00000000000000d1";
-    const auto body = consumer::job("work=4000", {{1, 2000, 1024, 1, 4000}, {2, 2000, 1024, 1, 4000, false, "", 0}});
+    const auto body = consumer::job(
+            "work=4000", {{1, 2000, 1024, 1, 4000}, {2, 2000, 1024, 1, 4000, false, "", 0}});
     auto &first = system.gateways[0];
     const auto frozenAt = nowMs();
     if (trouble)
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,4 +1,5 @@
-// Jobs that were placed on a worker that had just crashed never begin, but the queue's `pending` leaves them out.
+// Jobs that were placed on a worker that had just crashed never begin, but the queue's `pending`
+// leaves them out.
 
 #include "case.h"
 
@@ -22,14 +23,17 @@
         options.labels = {"a", i < 4 ? "r1" : "r2"};
         workers.push_back(std::make_unique<worker>(log, book, options, system.controlAddresses()));
     }
-    if (!configure(log, system.schedulers[0].address, 1, {{"long", "/long/", 1, 3}, {"short", "/short/", 1, 3}}))
+    if (!configure(log, system.schedulers[0].address, 1,
+                   {{"long", "/long/", 1, 3}, {"short", "/short/", 1, 3}}))
         return 2;
     for (auto &item : workers)
         item->start();
     consumer one(log, "key-one");
     const auto gateway = system.gateways[0].address;
     // Seven of the eight workers are full of long work.
-    if (one.submit(gateway, "/long/00000000000000a1", consumer::job("work=100000", {{7, 64000, 131072, 8, 100000}})) != 200)
+    if (one.submit(gateway, "/long/00000000000000a1",
+                   consumer::job("work=100000", {{7, 64000, 131072, 8, 100000}}))
+        != 200)
         return 2;
     const auto limit = nowMs() + 10000;
     while (book.all().size() < 7 && nowMs() < limit)
@@ -48,7 +52,9 @@
     if (free == nullptr)
         return 2;
     // The eighth one runs something small.
-    if (one.submit(gateway, "/long/00000000000000a2", consumer::job("work=100000", {{1, 1000, 1024, 1, 100000}})) != 200)
+    if (one.submit(gateway, "/long/00000000000000a2",
+                   consumer::job("work=100000", {{1, 1000, 1024, 1, 100000}}))
+        != 200)
         return 2;
     sleepMs(3000);
     if (book.all().size() != 8 || book.all().back().worker != free->id())
--- a/review/standin-2/case.h
+++ b/review/standin-2/case.h
@@ -1,5 +1,6 @@
 #pragma once
-// Frame of a case: `play` returns 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+// Frame of a case: `play` returns 1 if the rule was broken, 0 if it held, and 2 if the case
+// couldn't run.
 
 #include "consumer.h"
 #include "fleet.h"
@@ -32,7 +33,9 @@
     } catch (const std::exception &failure) {
         log.line(std::string("the case failed: ") + failure.what());
     }
-    const char *text = outcome == 1 ? "the rule was broken" : outcome == 0 ? "the rule held" : "the case couldn't run";
+    const char *text = outcome == 1 ? "the rule was broken"
+            : outcome == 0          ? "the rule held"
+                                    : "the case couldn't run";
     log.line(text);
     std::cout << text << "\n";
     return outcome;
--- a/review/standin-2/consumer.cc
+++ b/review/standin-2/consumer.cc
@@ -39,14 +39,17 @@
 
 headers consumer::fields(const std::string &hostName) const
 {
-    return {{"Host", hostName}, {"Authorization", "Bearer " + key_}, {"Persimmonproxy-Deadline-Ms", "3000"}};
+    return {{"Host", hostName},
+            {"Authorization", "Bearer " + key_},
+            {"Persimmonproxy-Deadline-Ms", "3000"}};
 }
 
 int consumer::submit(const std::string &gateway, const std::string &path, const std::string &body)
 {
     log_.line("consumer sends POST " + path + " to " + gateway);
     const auto got = call(gateway, "POST", path, fields(host), body, 3000);
-    log_.line("consumer gets " + (got ? std::to_string(got->status) : std::string("no answer")) + " for POST " + path);
+    log_.line("consumer gets " + (got ? std::to_string(got->status) : std::string("no answer"))
+              + " for POST " + path);
     return got ? got->status : 0;
 }
 
@@ -54,7 +57,8 @@
 {
     log_.line("consumer sends DELETE " + path + " to " + gateway);
     const auto got = call(gateway, "DELETE", path, fields(host), "", 3000);
-    log_.line("consumer gets " + (got ? std::to_string(got->status) : std::string("no answer")) + " for DELETE " + path);
+    log_.line("consumer gets " + (got ? std::to_string(got->status) : std::string("no answer"))
+              + " for DELETE " + path);
     return got ? got->status : 0;
 }
 
@@ -73,12 +77,15 @@
 int consumer::pending(const std::string &gateway, const std::string &prefix)
 {
     const auto got = call(gateway, "GET", prefix, fields(host), "", 3000);
-    const int found = got && got->status == 200 ? value::parse(got->body).at("pending").as_integer() : -1;
-    log_.line("consumer gets pending " + std::to_string(found) + " for GET " + prefix + " from " + gateway);
+    const int found
+            = got && got->status == 200 ? value::parse(got->body).at("pending").as_integer() : -1;
+    log_.line("consumer gets pending " + std::to_string(found) + " for GET " + prefix + " from "
+              + gateway);
     return found;
 }
 
-bool configure(record &log, const std::string &control, int version, const std::vector<route> &routes)
+bool configure(record &log, const std::string &control, int version,
+               const std::vector<route> &routes)
 {
     auto body = value::object();
     body["version"] = value::number(version);
--- a/review/standin-2/consumer.h
+++ b/review/standin-2/consumer.h
@@ -54,8 +54,9 @@
 
 inline constexpr auto host = "jobs.example";
 
-// Sends a configuration with some routes of the service "pool" and two tenants, with the keys "key-one" and "key-two",
-// until it is acknowledged. Returns false if it isn't in 20 s.
-bool configure(record &log, const std::string &control, int version, const std::vector<route> &routes);
+// Sends a configuration with some routes of the service "pool" and two tenants, with the keys
+// "key-one" and "key-two", until it is acknowledged. Returns false if it isn't in 20 s.
+bool configure(record &log, const std::string &control, int version,
+               const std::vector<route> &routes);
 
 } // namespace standin
--- a/review/standin-2/fleet.cc
+++ b/review/standin-2/fleet.cc
@@ -35,7 +35,8 @@
     auto &item = runs_[number];
     item.endedMs = nowMs();
     item.how = how;
-    log_.line("worker " + item.worker + " ends " + item.task + " run " + std::to_string(item.run) + " " + how);
+    log_.line("worker " + item.worker + " ends " + item.task + " run " + std::to_string(item.run)
+              + " " + how);
 }
 
 std::vector<run_record> run_book::all() const
@@ -109,6 +110,7 @@
 void worker::leave(std::int64_t drainMs)
 {
     log_.line("worker " + id() + " drains");
+    leavesAtMs_ = nowMs() + drainMs;
     draining_ = true;
     const auto limit = nowMs() + 4 * drainMs;
     while (!drainAcked_ && nowMs() < limit)
@@ -122,7 +124,8 @@
     // The call goes to the next node until one has answered.
     auto node = node_;
     for (int i = 0; i < 4; ++i) {
-        const auto done = send(node, "DELETE", "/instances/" + id(), "{\"born\":" + std::to_string(born_) + "}");
+        const auto done = send(node, "DELETE", "/instances/" + id(),
+                               "{\"born\":" + std::to_string(born_) + "}");
         log_.line("worker " + id() + " leaves, by " + node + ": "
                   + (done ? std::to_string(done->status) : std::string("no answer")));
         if (done && done->status / 100 == 2)
@@ -140,14 +143,16 @@
     return *(at + 1);
 }
 
-// Sends a call over the link. Bytes that the link holds up arrive late; the worker doesn't wait for the answer.
-std::optional<answer> worker::send(const std::string &node, const std::string &method, const std::string &path,
-                                   const std::string &body)
+// Sends a call over the link. Bytes that the link holds up arrive late; the worker doesn't wait for
+// the answer.
+std::optional<answer> worker::send(const std::string &node, const std::string &method,
+                                   const std::string &path, const std::string &body)
 {
     const auto delay = delay_(node);
     if (delay <= 0)
         return call(node, method, path, {}, body, answerLimitMs);
-    log_.line("link holds up " + method + " of " + id() + " to " + node + " for " + std::to_string(delay) + " ms");
+    log_.line("link holds up " + method + " of " + id() + " to " + node + " for "
+              + std::to_string(delay) + " ms");
     ++late_;
     std::thread([this, node, method, path, body, delay] {
         sleepMs(delay);
@@ -167,13 +172,16 @@
     body["service"] = value::string(options_.service);
     // Each life has a port of its own.
     const auto colon = options_.address.rfind(':');
-    body["addr"] = value::string(options_.address.substr(0, colon + 1)
-                                 + std::to_string(std::stoi(options_.address.substr(colon + 1)) + 100 * lives_));
+    body["addr"] = value::string(
+            options_.address.substr(0, colon + 1)
+            + std::to_string(std::stoi(options_.address.substr(colon + 1)) + 100 * lives_));
     body["zone"] = value::string(options_.zone);
     body["version"] = value::string("v1");
     body["slots"] = value::number(8);
     body["state"] = value::string(draining_ ? "draining" : "ready");
     body["warmup_left_ms"] = value::number(0);
+    if (draining_)
+        body["remaining_ms"] = value::number(std::max<std::int64_t>(0, leavesAtMs_ - nowMs()));
     body["born"] = value::number(born_);
     body["clock_ms"] = value::number(nowMs() - bornSteady_);
     body["seq"] = value::number(++seq_);
@@ -192,17 +200,20 @@
         if (item.stopAtMs >= 0)
             continue; // runs that are being stopped aren't listed
         const auto worked = nowMs() - item.startedMs;
-        const auto percent = item.workMs < 0 ? (worked >= options_.startupMs ? 100 : 0)
-                                             : std::min<std::int64_t>(99, worked * 100 / std::max<std::int64_t>(1, item.workMs));
-        running.push_back(value::array({value::string(task), value::number(item.run), value::string(""),
-                                        value::number(percent), value::number(100)}));
+        const auto percent = item.workMs < 0
+                ? (worked >= options_.startupMs ? 100 : 0)
+                : std::min<std::int64_t>(99, worked * 100 / std::max<std::int64_t>(1, item.workMs));
+        running.push_back(
+                value::array({value::string(task), value::number(item.run), value::string(""),
+                              value::number(percent), value::number(100)}));
     }
     body["running"] = value::array(running);
     std::vector<value> ended;
     for (const auto &item : ended_) {
         if (ended.size() < 500)
             ended.push_back(value::array({value::number(item.number), value::string(item.task),
-                                          value::number(item.run), value::string(item.how), value::string("")}));
+                                          value::number(item.run), value::string(item.how),
+                                          value::string("")}));
     }
     body["ended"] = value::array(ended);
     return body.serialize();
@@ -256,8 +267,9 @@
         return;
     fence_ = fence;
     if (has("hold_ms"))
-        leaseUntilMs_ = std::max(leaseUntilMs_,
-                                 sentMs + std::min(options_.maxHoldMs, orders.at("hold_ms").as_number().to_int64()));
+        leaseUntilMs_ = std::max(
+                leaseUntilMs_,
+                sentMs + std::min(options_.maxHoldMs, orders.at("hold_ms").as_number().to_int64()));
     if (has("seen_upto")) {
         const auto upTo = orders.at("seen_upto").as_number().to_int64();
         std::erase_if(ended_, [upTo](const ended_item &item) { return item.number <= upTo; });
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -1,7 +1,7 @@
 #pragma once
-// Stand-ins of the platform's workers, as PROTOCOL.md describes them, with `orders` = `heartbeat`. What a work item
-// does is told by the `spec` of its job: "work=MS" works for MS milliseconds and ends as done, "lasts" works until it
-// is stopped.
+// Stand-ins of the platform's workers, as PROTOCOL.md describes them, with `orders` = `heartbeat`.
+// What a work item does is told by the `spec` of its job: "work=MS" works for MS milliseconds and
+// ends as done, "lasts" works until it is stopped.
 
 #include "net.h"
 #include "record.h"
@@ -66,7 +66,8 @@
     std::vector<run_record> runs_;
 };
 
-// The link between a worker and the nodes. Returns for how long bytes to a node are held up now; 0: not at all.
+// The link between a worker and the nodes. Returns for how long bytes to a node are held up now; 0:
+// not at all.
 using delay_function = std::function<std::int64_t(const std::string &node)>;
 
 class worker
@@ -116,8 +117,8 @@
     void advance();
     void end(const std::string &task, const std::string &how);
     void endAll(const std::string &how);
-    std::optional<answer> send(const std::string &node, const std::string &method, const std::string &path,
-                               const std::string &body);
+    std::optional<answer> send(const std::string &node, const std::string &method,
+                               const std::string &path, const std::string &body);
     std::string nextNode(const std::string &failed);
 
     record &log_;
@@ -130,6 +131,7 @@
     std::atomic<bool> up_ = false;
     std::atomic<bool> quit_ = false;
     std::atomic<bool> draining_ = false;
+    std::atomic<std::int64_t> leavesAtMs_ = 0;
     std::atomic<bool> drainAcked_ = false;
     std::mt19937 random_ {std::random_device {}()};
 
@@ -146,7 +148,8 @@
     std::string node_; // of the next heartbeat
     std::map<std::string, running_item> running_;
     std::vector<ended_item> ended_;
-    std::map<std::string, std::int64_t> closed_; // highest run that was stopped or has ended, by work item
+    std::map<std::string, std::int64_t>
+            closed_; // highest run that was stopped or has ended, by work item
 };
 
 } // namespace standin
--- a/review/standin-2/net.cc
+++ b/review/standin-2/net.cc
@@ -46,8 +46,8 @@
     return fd;
 }
 
-std::string textOf(const std::string &method, const std::string &path, const headers &fields, const std::string &body,
-                   const std::string &address)
+std::string textOf(const std::string &method, const std::string &path, const headers &fields,
+                   const std::string &body, const std::string &address)
 {
     std::string text = method + " " + path + " HTTP/1.1\r\n";
     if (!fields.contains("Host"))
@@ -83,12 +83,15 @@
 
 std::int64_t nowMs()
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - began).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now()
+                                                                 - began)
+            .count();
 }
 
 std::int64_t wallMs()
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
             .count();
 }
 
@@ -98,8 +101,9 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
-std::optional<answer> call(const std::string &address, const std::string &method, const std::string &path,
-                           const headers &fields, const std::string &body, std::int64_t timeoutMs)
+std::optional<answer> call(const std::string &address, const std::string &method,
+                           const std::string &path, const headers &fields, const std::string &body,
+                           std::int64_t timeoutMs)
 {
     const auto deadline = nowMs() + timeoutMs;
     const int fd = connectTo(address, timeoutMs);
@@ -115,11 +119,14 @@
                 headEnd = received.find("\r\n\r\n");
                 if (headEnd != std::string::npos) {
                     const auto at = received.find("Content-Length: ");
-                    length = at < headEnd ? static_cast<std::size_t>(std::atoll(received.c_str() + at + 16)) : 0;
+                    length = at < headEnd
+                            ? static_cast<std::size_t>(std::atoll(received.c_str() + at + 16))
+                            : 0;
                 }
             }
             if (headEnd != std::string::npos && received.size() >= headEnd + 4 + length) {
-                found = answer {std::atoi(received.c_str() + 9), received.substr(headEnd + 4, length)};
+                found = answer {std::atoi(received.c_str() + 9),
+                                received.substr(headEnd + 4, length)};
                 break;
             }
             pollfd item {fd, POLLIN, 0};
@@ -138,8 +145,8 @@
     return found;
 }
 
-int sendOnly(const std::string &address, const std::string &method, const std::string &path, const headers &fields,
-             const std::string &body)
+int sendOnly(const std::string &address, const std::string &method, const std::string &path,
+             const headers &fields, const std::string &body)
 {
     const int fd = connectTo(address, 1000);
     if (fd >= 0 && !sendAll(fd, textOf(method, path, fields, body, address), nowMs() + 1000)) {
--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -27,8 +27,9 @@
 
 // Sends one request on a new connection and reads the answer. Nothing if there is none in time.
 // `address` is IP:port.
-std::optional<answer> call(const std::string &address, const std::string &method, const std::string &path,
-                           const headers &fields, const std::string &body, std::int64_t timeoutMs);
+std::optional<answer> call(const std::string &address, const std::string &method,
+                           const std::string &path, const headers &fields, const std::string &body,
+                           std::int64_t timeoutMs);
 
 // Connects and sends one request, and returns the socket without reading from it, or -1.
 int sendOnly(const std::string &address, const std::string &method, const std::string &path,
--- a/review/standin-2/record.h
+++ b/review/standin-2/record.h
@@ -1,5 +1,6 @@
 #pragma once
-// The record of a case: what was sent, answered and run, one line for each, with the time in milliseconds.
+// The record of a case: what was sent, answered and run, one line for each, with the time in
+// milliseconds.
 
 #include <cstdio>
 #include <mutex>
--- a/review/standin-2/system.cc
+++ b/review/standin-2/system.cc
@@ -40,8 +40,10 @@
     // Loopback addresses of which no port is in use by another run.
     std::random_device random;
     do {
-        net_ = "127." + std::to_string(10 + random() % 200) + "." + std::to_string(1 + random() % 250) + ".";
-    } while (isListening(endpoint(net_ + "11", controlPort)) || isListening(endpoint(net_ + "101", frontPort)));
+        net_ = "127." + std::to_string(10 + random() % 200) + "."
+                + std::to_string(1 + random() % 250) + ".";
+    } while (isListening(endpoint(net_ + "11", controlPort))
+             || isListening(endpoint(net_ + "101", frontPort)));
     for (int i = 0; i < schedulerCount; ++i) {
         process item;
         item.name = "scheduler-" + std::to_string(i + 1);
@@ -68,7 +70,8 @@
         writeSettings(item, false, true);
 }
 
-// What the templates of the deploy file give for a site of five `core` machines, without `advice` and `cloud`.
+// What the templates of the deploy file give for a site of five `core` machines, without `advice`
+// and `cloud`.
 void small_system::writeSettings(process &item, bool isScheduler, bool first) const
 {
     std::ofstream file(item.settings);
@@ -83,8 +86,10 @@
     file << "[group]\nrpc_port = " << rpcPort << "\nseeds = " << seeds_ << "\n";
     if (!isScheduler)
         return;
-    file << "data_folder = " << folder_ << "/data-" << item.name << "\nbootstrap = " << (first ? "true" : "false")
-         << "\ntolerated_losses = 1\n[workers]\nheartbeat_ms = 1500\nmax_lease_ms = 6000\ncheckpoint_s = 1\n"
+    file << "data_folder = " << folder_ << "/data-" << item.name
+         << "\nbootstrap = " << (first ? "true" : "false")
+         << "\ntolerated_losses = 1\n[workers]\nheartbeat_ms = 1500\nmax_lease_ms = "
+            "6000\ncheckpoint_s = 1\n"
          << "[machines]\nupkeep_s = 2\norder_lease_ms = 3000\n[jobs]\nkeep_ended_s = 120\n";
 }
 
--- a/review/standin-2/system.h
+++ b/review/standin-2/system.h
@@ -1,5 +1,6 @@
 #pragma once
-// Starts the project's programs with the commands of the deploy file, on loopback addresses of their own.
+// Starts the project's programs with the commands of the deploy file, on loopback addresses of
+// their own.
 
 #include "record.h"
 
@@ -28,7 +29,8 @@
     small_system &operator=(const small_system &) = delete;
     ~small_system();
 
-    // Starts all processes and waits until each gateway is ready. Returns false if they aren't in time.
+    // Starts all processes and waits until each gateway is ready. Returns false if they aren't in
+    // time.
     bool start();
 
     std::vector<process> schedulers;
