--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -466,7 +466,7 @@
         item.settings = folder_ + "/" + item.name + ".ini";
         std::ofstream(item.settings)
                 << "[instance]\nid = " << item.name << "\nip = " << item.ip
-                << "\nzone = zone-a\nzones = zone-a\ngrace_s = 6\n[http]\nlisten = " << control(i)
+                << "\nzone = zone-a\nzones = zone-a,zone-b\ngrace_s = 6\n[http]\nlisten = " << control(i)
                 << "\nmetrics_listen = " << metrics(i)
                 << "\n[limits]\ndescriptors = 4096\nmemory_mb = 256\n[group]\nrpc_port = " << rpcPort_
                 << "\nseeds = " << seeds << "\ndata_folder = " << folder_ << "/" << item.name
@@ -848,8 +848,15 @@
         auto answer = std::make_shared<reply>();
         auto done = std::make_shared<std::atomic<bool>>(false);
         const auto how = link_.load();
-        std::thread caller([answer, done, target, text, how, id = values_.id] {
-            const auto path = "/instances/" + id;
+        const auto path = "/instances/" + values_.id;
+        // Delivered after the worker has given the call up, and also if it has ended meanwhile.
+        if (how == link::late)
+            std::thread([target, path, text, lateMs = values_.lateMs] {
+                sleepMs(lateMs);
+                record::line("a heartbeat arrives " + std::to_string(lateMs) + " ms late: " + path);
+                call(target, "PUT", path, {}, text, 1000);
+            }).detach();
+        std::thread([answer, done, target, path, text, how] {
             if (how == link::sound)
                 *answer = call(target, "PUT", path, {}, text, 1000);
             else if (how == link::answers_lost)
@@ -857,18 +864,13 @@
             else
                 sleepMs(1000);
             *done = true;
-            if (how == link::late) {
-                sleepMs(1000 + static_cast<int64_t>(std::hash<string> {}(text) % 4000));
-                call(target, "PUT", path, {}, text, 1000);
-            }
-        });
+        }).detach();
         while (!*done) {
             sleepMs(5);
             const std::lock_guard guard(mutex_);
             if (!stopping_)
                 advance();
         }
-        caller.detach();
         const auto orders = answer->status / 100 == 2 && steadyMs() - sent <= 1000
                 ? parseJson(answer->body)
                 : std::nullopt;
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -178,7 +178,7 @@
         int64_t heartbeatMs = 1500;
         int64_t maxHoldMs = 6000;
         int64_t stopMs = 200;
-        int64_t gangMs = 3000;
+        int64_t lateMs = 0; // of heartbeats on a late link, from their sending to their arrival
     };
 
     worker(const system_under_test &system, options values,
