Keep the worker of a suspected loss in the log

Cause: the suspicion is in the log; what takes it back, namely which worker was lost under which incarnation, was in the memory of the leader that had recorded it.

Each heartbeat is compared with the suspicions against its worker: the same incarnation excuses, a newer one within a minute confirms. A failed commit is made up for by a later heartbeat. 16 excuses of a task are kept at most.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -184,8 +184,6 @@
         std::optional<std::uint64_t> ackedUpTo;
     };
 
-    using run_key = std::pair<task_id, std::uint32_t>;
-
     // A run that has ended in the ledger but may still take resources of its worker, because the
     // worker lists it or is stopping it.
     struct residual_run
@@ -274,6 +272,8 @@
     std::vector<worker_loss> silentWorkers(time_point now) const;
     loss_attribution::fleet_state stateOfFleet(time_point now) const;
     void excuseLongRuns(time_point now, std::int64_t wallMs);
+    void settleLosses(const worker_state &worker, bool newIncarnation, std::int64_t wallMs);
+    std::vector<lost_run> settledSuspicions(const worker_state &worker, std::int64_t wallMs) const;
     void recordLosses(std::vector<lost_run> runs, std::int64_t wallMs,
                       std::function<void(status)> done);
     void commitLosses(std::vector<worker_loss> losses, std::vector<run_end> ends, time_point now,
@@ -347,6 +347,7 @@
     time_point now_ {}; // time of the newest heartbeat or tick
     std::set<std::string> ordersDue_; // workers for which orders may have become ready
     std::set<run_key> stopping_; // runs being stopped for preemption or relocation
+    std::set<run_key> settling_; // lost runs of which more is known than is committed
     std::set<task_id> committingEnds_; // tasks of lost workers whose ends are being committed
     std::map<run_key, time_point> unsentOrders_; // placed by this leader, start order not sent yet
     std::map<run_key, time_point> sentOrders_; // start order sent, run not reported yet
--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -23,6 +23,9 @@
     friend bool operator==(const assignment &, const assignment &) = default;
 };
 
+// A run of a task, by its number.
+using run_key = std::pair<task_id, std::uint32_t>;
+
 struct run_end
 {
     task_id task;
@@ -151,9 +154,12 @@
     {
         run_loss kind = run_loss::Suspected;
         bool alone = false;
+        std::string worker {}; // empty: not known
+        std::int64_t incarnation = 0; // of the worker
     };
 
-    std::map<std::uint32_t, entry> runs; // by run number
+    // By run number. Only the newest ones of those that are excused are kept.
+    std::map<std::uint32_t, entry> runs;
     std::int64_t newestMs = 0; // when the newest loss was recorded, in Unix milliseconds
 
     // Returns the number of losses that aren't excused.
@@ -296,6 +302,10 @@
     // Returns the number of losses of workers that count against a task.
     std::uint32_t countedLosses(const task_id &task) const;
 
+    // Returns the runs of open jobs that were lost when a worker fell silent, under any of its
+    // incarnations, and of which it isn't known whether the worker had crashed.
+    const std::set<run_key> &suspectedRuns(const std::string &worker) const;
+
     // Returns the retained waves by id, including completed ones.
     const std::map<std::uint64_t, wave_record> &waves() const { return waves_; }
 
@@ -332,6 +342,10 @@
                              task_state &task);
     void closeJob(job_record &job, job_state state, std::int64_t wallMs);
     void recordLoss(const lost_run &lost, std::int64_t wallMs);
+    void indexSuspicion(const run_key &run, const loss_record::entry &loss);
+    void removeSuspicion(const run_key &run, const loss_record::entry &loss);
+    void forgetLosses(const std::string &job);
+    void rebuildSuspicions();
     void rebuildIndexes();
     task_state *findTask(const task_id &id);
 
@@ -351,6 +365,7 @@
     std::map<std::string, worker_runs> runs_; // workers with active runs
     std::map<std::string, std::size_t> activeRuns_; // by job
     std::set<std::string> openJobs_; // jobs that are not ended or have active runs
+    std::map<std::string, std::set<run_key>> suspicions_; // by worker
 };
 
 // Returns the name of a task within its job: OCCURRENCE.STEP.INDEX.
--- a/packages/batch/src/controller-losses.cc
+++ b/packages/batch/src/controller-losses.cc
@@ -16,6 +16,9 @@
 // A run that has worked for this long isn't suspected: over days, workers crash for other reasons.
 constexpr std::chrono::minutes suspicionTime {10};
 
+// A worker that starts again later than this after its loss was recorded may have ended since.
+constexpr milliseconds confirmationTime {std::chrono::minutes {1}};
+
 template <typename Runs>
 std::size_t countUnreported(const std::vector<assignment> &runs, const Runs &reported)
 {
@@ -172,6 +175,62 @@
     return losses;
 }
 
+// Returns what a heartbeat shows of suspected runs in the ledger, whichever leader has recorded
+// them: that the worker has not crashed, or that it has started again soon after its newest run.
+std::vector<lost_run> controller::settledSuspicions(const worker_state &worker,
+                                                    std::int64_t wallMs) const
+{
+    std::vector<lost_run> settled;
+    const auto incarnation = worker.report.incarnation;
+    for (const auto &[task, run] : state_.suspectedRuns(worker.report.id)) {
+        if (settling_.contains({task, run}))
+            continue;
+        const auto &record = state_.losses().at(task);
+        const auto &loss = record.runs.at(run);
+        const bool isNewest = record.runs.rbegin()->first == run;
+        if (loss.incarnation == incarnation && worker.clockConfirmed)
+            settled.push_back({task, run, run_loss::Excused, loss.alone});
+        else if (loss.incarnation < incarnation && isNewest
+                 && wallMs - record.newestMs < confirmationTime.count())
+            settled.push_back({task, run, run_loss::Crashed, loss.alone});
+    }
+    return settled;
+}
+
+// Records what a heartbeat shows of the losses of its worker. If the commit fails, a later
+// heartbeat shows the same.
+void controller::settleLosses(const worker_state &worker, bool newIncarnation, std::int64_t wallMs)
+{
+    const auto &report = worker.report;
+    auto settled = settledSuspicions(worker, wallMs);
+    const auto add = [&settled](const std::vector<lost_run> &runs) {
+        for (const auto &lost : runs) {
+            const auto isSame = [&lost](const lost_run &known) {
+                return known.task == lost.task && known.run == lost.run;
+            };
+            if (std::ranges::none_of(settled, isSame))
+                settled.push_back(lost);
+        }
+    };
+    // Those that are not committed yet are known to this leader alone.
+    if (newIncarnation)
+        add(attribution_.recordRestart(report.id, report.incarnation - 1));
+    if (worker.clockConfirmed)
+        add(attribution_.recordReturn(report.id, report.incarnation));
+    std::vector<run_key> keys;
+    for (const auto &lost : settled)
+        keys.emplace_back(lost.task, lost.run);
+    settling_.insert(keys.begin(), keys.end());
+    recordLosses(
+            std::move(settled), wallMs,
+            [this, keys = std::move(keys), alive = std::weak_ptr<int>(alive_)](const status &) {
+                if (alive.expired())
+                    return;
+                for (const auto &key : keys)
+                    settling_.erase(key);
+            });
+}
+
 void controller::recordLosses(std::vector<lost_run> runs, std::int64_t wallMs,
                               std::function<void(status)> done)
 {
--- a/packages/batch/src/controller.cc
+++ b/packages/batch/src/controller.cc
@@ -75,6 +75,7 @@
     cordonedMachines_.clear();
     ordersDue_.clear();
     stopping_.clear();
+    settling_.clear();
     committingEnds_.clear();
     unsentOrders_.clear();
     sentOrders_.clear();
@@ -193,7 +194,6 @@
         if (worker.report.incarnation != 0)
             earlier = {worker.lastHeartbeat, worker.report.draining || worker.leftAt,
                        std::move(worker.runs)};
-        recordLosses(attribution_.recordRestart(report.id, report.incarnation - 1), wallMs, {});
         worker = {};
         worker.firstHeartbeat = now;
         worker.earlier = std::move(earlier);
@@ -209,9 +209,7 @@
     }
     worker.report = report;
     updateClockOffset(worker, now, wallMs, newIncarnation);
-    // An earlier leader, or this one before it had heard the worker, may have given it up.
-    if (worker.clockConfirmed)
-        recordLosses(attribution_.recordReturn(report.id, report.incarnation), wallMs, {});
+    settleLosses(worker, newIncarnation, wallMs);
     updateAddress(report, now, wallMs);
     const auto silence
             = newIncarnation ? std::chrono::microseconds {0} : now - worker.lastHeartbeat;
--- a/packages/batch/src/ledger-codec.cc
+++ b/packages/batch/src/ledger-codec.cc
@@ -19,6 +19,47 @@
 // Optional sections that follow the snapshot. Processes of earlier versions ignore them.
 constexpr std::uint8_t unbegunJobsSection = 1;
 constexpr std::uint8_t cancellationsSection = 2;
+constexpr std::uint8_t lostWorkersSection = 3;
+
+// A run under which a worker was lost. The main part of the snapshot doesn't name the worker.
+struct lost_worker
+{
+    task_id task;
+    std::uint32_t run = 0;
+    std::string worker;
+    std::int64_t incarnation = 0;
+};
+
+template <typename Archive>
+void serialize(Archive &archive, lost_worker &value)
+{
+    archive(value.task, value.run, value.worker, value.incarnation);
+}
+
+// Returns the workers of the runs of which it isn't known whether they had crashed.
+std::vector<lost_worker> suspectedWorkers(const std::map<task_id, loss_record> &losses)
+{
+    std::vector<lost_worker> found;
+    for (const auto &[task, record] : losses) {
+        for (const auto &[number, loss] : record.runs) {
+            if (loss.kind == run_loss::Suspected && !loss.worker.empty())
+                found.push_back({task, number, loss.worker, loss.incarnation});
+        }
+    }
+    return found;
+}
+
+void setWorkers(std::map<task_id, loss_record> &losses, const std::vector<lost_worker> &workers)
+{
+    for (const auto &item : workers) {
+        const auto record = losses.find(item.task);
+        if (record == losses.end() || !record->second.runs.contains(item.run))
+            continue;
+        auto &loss = record->second.runs.at(item.run);
+        loss.worker = item.worker;
+        loss.incarnation = item.incarnation;
+    }
+}
 
 template <typename... Values>
 consensus::byte_buffer pack(std::uint8_t format, const Values &...values)
@@ -118,6 +159,8 @@
         append(bytes, pack(unbegunJobsSection, unbegunJobs_));
     if (!cancellations_.empty())
         append(bytes, pack(cancellationsSection, cancellations_));
+    if (const auto workers = suspectedWorkers(losses_); !workers.empty())
+        append(bytes, pack(lostWorkersSection, workers));
     return bytes;
 }
 
@@ -135,10 +178,13 @@
                       readWaves, readLosses);
     std::set<std::string> readUnbegunJobs;
     std::map<job_address, std::int64_t> readCancellations;
+    std::vector<lost_worker> readLostWorkers;
     if (!failed(read)) {
         auto sections = readSection(valueOf(read), unbegunJobsSection, readUnbegunJobs);
         if (!failed(sections))
             sections = readSection(valueOf(read), cancellationsSection, readCancellations);
+        if (!failed(sections))
+            sections = readSection(valueOf(read), lostWorkersSection, readLostWorkers);
         if (failed(sections))
             return sections;
     }
@@ -153,6 +199,7 @@
     jobs_ = std::move(readJobs);
     waves_ = std::move(readWaves);
     losses_ = std::move(readLosses);
+    setWorkers(losses_, readLostWorkers);
     evacuations_ = std::move(readEvacuations);
     unbegunJobs_ = std::move(readUnbegunJobs);
     cancellations_ = std::move(readCancellations);
--- a/packages/batch/src/ledger.cc
+++ b/packages/batch/src/ledger.cc
@@ -17,13 +17,6 @@
 // Events kept for each job.
 constexpr std::size_t maxEvents = 24;
 
-// Confirmed losses after which a task is given up, if it has crashed a worker that it did not share
-// with other jobs.
-constexpr std::uint32_t maxConfirmedLosses = 3;
-
-// Losses after which a task is given up in any case.
-constexpr std::uint32_t maxCountedLosses = 4;
-
 // Some thousand years. A point in time after a few of them still fits into its type.
 constexpr double maxSlackMs = 1e14;
 
@@ -89,27 +82,6 @@
     return names.at(static_cast<std::size_t>(phase));
 }
 
-std::string_view toName(run_loss kind)
-{
-    static constexpr std::array<std::string_view, 3> names {"suspected", "crashed", "excused"};
-    return names.at(static_cast<std::size_t>(kind));
-}
-
-std::uint32_t loss_record::counted() const
-{
-    return static_cast<std::uint32_t>(std::ranges::count_if(
-            runs, [](const auto &item) { return item.second.kind != run_loss::Excused; }));
-}
-
-bool loss_record::isConclusive() const
-{
-    const auto isConfirmed = [](const auto &item) { return item.second.kind == run_loss::Crashed; };
-    const auto wasAlone = [&](const auto &item) { return isConfirmed(item) && item.second.alone; };
-    return counted() >= maxCountedLosses
-            || (std::ranges::count_if(runs, isConfirmed) >= maxConfirmedLosses
-                && std::ranges::any_of(runs, wasAlone));
-}
-
 ledger::ledger() = default;
 ledger::~ledger() = default;
 
@@ -188,12 +160,6 @@
     }));
 }
 
-std::uint32_t ledger::countedLosses(const task_id &task) const
-{
-    const auto found = losses_.find(task);
-    return found == losses_.end() ? 0 : found->second.counted();
-}
-
 void ledger::handle(const set_configuration &input)
 {
     if (input.value.version > configuration_.version)
@@ -324,40 +290,6 @@
     cancellations_.try_emplace(input.job, input.wallMs);
 }
 
-void ledger::handle(const record_losses &input)
-{
-    for (const auto &lost : input.runs)
-        recordLoss(lost, input.wallMs);
-}
-
-// Long-running tasks are given up as well: they would crash workers for as long as they are
-// restarted.
-void ledger::recordLoss(const lost_run &lost, std::int64_t wallMs)
-{
-    const auto *task = findTask(lost.task);
-    if (task == nullptr || lost.run == 0 || lost.run > task->run)
-        return;
-    auto &job = jobs_.at(lost.task.job);
-    if (job.ended() || task->done)
-        return;
-    auto &record = losses_[lost.task];
-    const auto [known, added] = record.runs.try_emplace(lost.run);
-    auto &entry = known->second;
-    if (!added && entry.kind >= lost.kind)
-        return;
-    entry.kind = lost.kind;
-    if (added) {
-        entry.alone = lost.alone;
-        record.newestMs = wallMs;
-    }
-    appendEvent(job,
-                {wallMs, "lost", std::string(toName(lost.kind)), lost.run,
-                 shortName(lost.task) + " on " + (lost.run == task->run ? task->worker : "-")});
-    observer_({ledger_event_kind::RunLost, &job, {}, lost.kind});
-    if (record.isConclusive())
-        closeJob(job, job_state::Failed, wallMs);
-}
-
 // A gang is done as soon as one of its tasks ends as done.
 void ledger::finishTask(job_record &job, const task_id &id, std::int64_t wallMs)
 {
@@ -400,7 +332,7 @@
     unbegunJobs_.erase(job.id);
     appendEvent(job, {wallMs, "closed", std::string(toName(state)), 0, "-"});
     observer_({ledger_event_kind::JobEnded, &job, {}, {}});
-    std::erase_if(losses_, [&job](const auto &item) { return item.first.job == job.id; });
+    forgetLosses(job.id);
     if (!activeRuns_.contains(job.id))
         openJobs_.erase(job.id);
 }
@@ -475,6 +407,7 @@
         if (!job.ended() || activeRuns_.contains(id))
             openJobs_.insert(id);
     }
+    rebuildSuspicions();
 }
 
 task_state *ledger::findTask(const task_id &id)
--- a/packages/batch/test/ledger-test.cc
+++ b/packages/batch/test/ledger-test.cc
@@ -210,6 +210,60 @@
     CHECK_TRUE(other.snapshot() == state.snapshot());
 }
 
+// Guards against a leader that can't tell after a restart whose loss it was, and against a snapshot
+// that earlier versions can't read: what names the workers follows what they know.
+TEST(Ledger, snapshotRestoresTheWorkersOfSuspectedRuns)
+{
+    accept(leader_fixture::tasks(1, 1));
+    start(0, 1);
+    const lost_run lost {{"a", 0, 0, 0}, 1, run_loss::Suspected, true};
+    state.apply(record_losses {{lost}, 20});
+    ledger other;
+    CHECK_FALSE(failed(other.restore(state.snapshot())));
+    CHECK_EQUAL(1, other.suspectedRuns("w0").count({lost.task, 1}));
+    CHECK_EQUAL(1, other.losses().at(lost.task).runs.at(1).incarnation);
+    CHECK_TRUE(other.snapshot() == state.snapshot());
+    auto excused = lost;
+    excused.kind = run_loss::Excused;
+    other.apply(record_losses {{excused}, 20});
+    CHECK_EQUAL(0, other.suspectedRuns("w0").size());
+    // One entry: a job's id of one letter, a worker's of two, and their numbers.
+    const std::size_t sectionBytes = 2 + 4 * sizeof(std::uint64_t) + 4 * sizeof(std::uint32_t) + 3;
+    auto unsectioned = state.snapshot();
+    unsectioned.resize(unsectioned.size() - sectionBytes);
+    CHECK_FALSE(failed(other.restore(unsectioned)));
+    CHECK_EQUAL(1, other.countedLosses(lost.task));
+    CHECK_EQUAL(0, other.suspectedRuns("w0").size());
+}
+
+// Guards against suspicions that outlive the job.
+TEST(Ledger, endedJobsHaveNoSuspectedRuns)
+{
+    accept(leader_fixture::tasks(1, 1));
+    start(0, 1);
+    state.apply(record_losses {{{{"a", 0, 0, 0}, 1, run_loss::Suspected, true}}, 20});
+    CHECK_EQUAL(1, state.suspectedRuns("w0").size());
+    state.apply(cancel_job {"a", 30});
+    CHECK_EQUAL(0, state.suspectedRuns("w0").size());
+    CHECK_EQUAL(0, state.losses().size());
+}
+
+// Guards against a record that grows for as long as a task lasts.
+TEST(Ledger, excusedLossesOfATaskAreBounded)
+{
+    accept(leader_fixture::tasks(1, 1));
+    for (std::uint32_t run = 1; run <= 100; ++run) {
+        start(0, run);
+        for (const auto kind : {run_loss::Suspected, run_loss::Excused})
+            state.apply(record_losses {{{{"a", 0, 0, 0}, run, kind, true}}, 20});
+        end(0, run, end_kind::Lost);
+    }
+    const auto &runs = state.losses().at({"a", 0, 0, 0}).runs;
+    CHECK_EQUAL(16, runs.size());
+    CHECK_EQUAL(100, runs.rbegin()->first);
+    CHECK_TRUE(state.findJob("a")->state == job_state::Running);
+}
+
 // Guards against a count that grows when a loss is recorded again, as a new leader may do.
 TEST(Ledger, countsTheLossOfARunOnce)
 {
