Decide in the ledger whether a cancelled job was known

Cause: that the job isn't known was read behind a barrier, and its cancelling proposed afterwards.

Change: the cancelling is proposed at once; the ledger's reply tells whether the job was known where it is applied, and then it is cancelled before the caller is answered. A submission after a cancelling is refused where it is applied, too. Cancellings on their way count to their tenant's bound.

Two new tests of Service fail with the service as it was.

--- a/packages/batch/include/batch/cancellation.h
+++ b/packages/batch/include/batch/cancellation.h
@@ -29,7 +29,9 @@
 };
 
 // Command of the ledger: remembers that a job was cancelled that isn't known, because its
-// submission may still be on its way. It is forgotten with the jobs that ended at that time.
+// submission may still be on its way. It is forgotten with the jobs that ended at that time. Fails
+// with KeyReused if the job is known when the command is applied: then it has to be cancelled like
+// any other.
 struct record_cancellation
 {
     job_address job;
--- a/packages/batch/include/batch/ledger.h
+++ b/packages/batch/include/batch/ledger.h
@@ -197,6 +197,9 @@
     // because names may change. Who calls a public queue isn't known.
     bool belongsTo(const queue &at, std::string_view owner) const;
 
+    // Returns whether the job was handed in as an address names it.
+    bool isAt(const job_address &at) const;
+
     // Returns whether the job was handed in to a queue, by anyone.
     bool isOf(const queue &at) const;
 
@@ -254,8 +257,9 @@
     status restore(consensus::byte_view snapshot) override;
 
     // Applies a command. Fails with KeyReused, without effect, if the id of a job or a wave is
-    // taken by another one. Its proposer learns only here which of several commands with one id
-    // took it.
+    // taken by another one, and with Cancelled if the job was cancelled before. Its proposer learns
+    // only here which of several commands with one id took it, and which of a submission and its
+    // cancelling came first.
     status apply(const command &value);
 
     // Sets the observer of changes. Commands that are replayed after a restart are reported again.
@@ -332,7 +336,7 @@
     void handle(const set_upkeep_phase &input);
     void handle(const record_losses &input);
     void handle(const set_evacuation &input);
-    void handle(const record_cancellation &input);
+    status handle(const record_cancellation &input);
 
     void start(const assignment &run, std::int64_t wallMs);
     static void appendEvent(job_record &job, job_event event);
--- a/packages/batch/src/controller-losses.cc
+++ b/packages/batch/src/controller-losses.cc
@@ -218,6 +218,7 @@
     if (worker.clockConfirmed)
         add(attribution_.recordReturn(report.id, report.incarnation));
     std::vector<run_key> keys;
+    keys.reserve(settled.size());
     for (const auto &lost : settled)
         keys.emplace_back(lost.task, lost.run);
     settling_.insert(keys.begin(), keys.end());
--- a/packages/batch/src/ledger.cc
+++ b/packages/batch/src/ledger.cc
@@ -44,6 +44,12 @@
     return source.host == at.host && source.prefix == at.prefix;
 }
 
+bool job_record::isAt(const job_address &at) const
+{
+    return id == at.id && source.host == at.host && source.prefix == at.prefix
+            && (at.tenant.empty() || tenant == at.tenant);
+}
+
 bool job_record::belongsTo(const queue &at, std::string_view owner) const
 {
     return isOf(at) && (at.isPublic || tenant == owner);
@@ -173,6 +179,8 @@
                 = known->belongsTo(input.source, input.tenant) && known->spec == input.spec;
         return isRepeated ? status {std::monostate {}} : idIsTaken("another job");
     }
+    if (cancellations_.contains({input.source, input.tenant, input.id}))
+        return error {result_code::Cancelled, "cancelled before it was handed in", "id", {}};
     job_record job;
     job.id = input.id;
     job.tenant = input.tenant;
@@ -285,9 +293,12 @@
         evacuations_.erase(input.zone);
 }
 
-void ledger::handle(const record_cancellation &input)
+status ledger::handle(const record_cancellation &input)
 {
     cancellations_.try_emplace(input.job, input.wallMs);
+    const auto *job = findJob(input.job.id);
+    return job != nullptr && job->isAt(input.job) ? idIsTaken("the job itself")
+                                                  : status {std::monostate {}};
 }
 
 // A gang is done as soon as one of its tasks ends as done.
--- a/packages/batch/src/service.cc
+++ b/packages/batch/src/service.cc
@@ -26,11 +26,17 @@
     return {result_code::InvalidTable, std::move(detail), std::move(field), {}};
 }
 
+// Returns whether a committed command was applied without effect.
+bool isRefusal(result_code code)
+{
+    return code == result_code::KeyReused || code == result_code::Cancelled;
+}
+
 // A failed commit may still take effect, unless a follower has refused the proposal or the command
 // was applied without effect.
 error commitError(const error &reason)
 {
-    if (reason.code == result_code::NotLeader || reason.code == result_code::KeyReused)
+    if (reason.code == result_code::NotLeader || isRefusal(reason.code))
         return reason;
     return {result_code::OutcomeUnknown, reason.detail, {}, {}};
 }
@@ -190,8 +196,7 @@
               {"version", version}});
     propose_(accept_job {id, tenantName, *source, std::move(spec), wallMs},
              [this, id, done = std::move(done)](const status &committed) {
-                 const bool isRefused
-                         = failed(committed) && errorOf(committed).code == result_code::KeyReused;
+                 const bool isRefused = failed(committed) && isRefusal(errorOf(committed).code);
                  logEvent(isRefused ? "job.refused" : "job.accepted",
                           {{"job", id},
                            {"outcome",
@@ -227,16 +232,12 @@
 void service::cancel(std::int64_t wallMs, const caller &from,
                      const std::function<void(status)> &done)
 {
-    find(from, [this, wallMs, from = stored_caller {from}, done](const result<job_state> &found) {
-        if (failed(found) && errorOf(found).code != result_code::NotFound)
-            return done(errorOf(found));
-        const auto resolved = resolve(from.view());
-        if (failed(resolved))
-            return done(errorOf(resolved));
-        if (const auto *job = ownJob(valueOf(resolved)); job != nullptr)
-            return cancelKnown(wallMs, *job, done);
-        cancelUnknown(wallMs, valueOf(resolved), done);
-    });
+    const auto resolved = resolve(from);
+    if (failed(resolved))
+        return done(errorOf(resolved));
+    if (const auto *job = ownJob(valueOf(resolved)); job != nullptr)
+        return cancelKnown(wallMs, *job, done);
+    cancelUnknown(wallMs, valueOf(resolved), done);
 }
 
 void service::cancelKnown(std::int64_t wallMs, const job_record &job,
@@ -261,20 +262,25 @@
 bool service::mayRecordCancellation(const job_address &job) const
 {
     const auto &known = state_.cancellations();
-    const auto isOfTenant = [&job](const auto &item) { return item.first.tenant == job.tenant; };
+    if (known.contains(job))
+        return true;
+    const auto isOfTenant = [&job](const job_address &other) { return other.tenant == job.tenant; };
+    const auto ofTenant = std::ranges::count_if(known, isOfTenant,
+                                                &std::pair<const job_address, std::int64_t>::first)
+            + std::ranges::count_if(cancelling_, isOfTenant);
     return known.size() + cancelling_.size() < maxCancellations
-            && std::ranges::count_if(known, isOfTenant)
-            < static_cast<std::ptrdiff_t>(maxCancellationsOfTenant);
+            && ofTenant < static_cast<std::ptrdiff_t>(maxCancellationsOfTenant);
 }
 
-// The submission of the job may still be on its way: in a gateway that stands still, or on a slow
-// link. Its caller is told that no such job exists, so it must not run later.
+// The submission of the job may still be on its way: in a gateway that stands still, on a slow
+// link, or to a quorum. Its caller is told that no such job exists, so it must not run later. What
+// came first is decided where the cancelling is applied.
 void service::cancelUnknown(std::int64_t wallMs, const route &at,
                             const std::function<void(status)> &done)
 {
     const error notFound {result_code::NotFound, "no such job", "id", {}};
     const auto job = at.address();
-    if (failed(checkJobId(job.id)) || state_.cancellations().contains(job))
+    if (failed(checkJobId(job.id)))
         return done(notFound);
     if (!mayRecordCancellation(job)) {
         logEvent("job.cancel_refused", {{"job", job.id}, {"tenant", job.tenant}});
@@ -282,14 +288,21 @@
     }
     const auto pending = cancelling_.insert(job);
     propose_(record_cancellation {job, wallMs},
-             [this, job, pending, notFound, done](const status &committed) {
+             [this, wallMs, job, pending, notFound, done](const status &committed) {
                  cancelling_.erase(pending);
                  logEvent("job.cancelled_unknown",
                           {{"job", job.id},
                            {"tenant", job.tenant},
                            {"outcome",
                             failed(committed) ? describe(errorOf(committed).code).name : "ok"}});
-                 done(failed(committed) ? commitError(errorOf(committed)) : notFound);
+                 const bool wasKnown
+                         = failed(committed) && errorOf(committed).code == result_code::KeyReused;
+                 if (failed(committed) && !wasKnown)
+                     return done(commitError(errorOf(committed)));
+                 const auto *accepted = wasKnown ? state_.findJob(job.id) : nullptr;
+                 if (accepted == nullptr)
+                     return done(notFound);
+                 cancelKnown(wallMs, *accepted, done);
              });
 }
 
--- a/packages/batch/test/ledger-test.cc
+++ b/packages/batch/test/ledger-test.cc
@@ -210,6 +210,29 @@
     CHECK_TRUE(other.snapshot() == state.snapshot());
 }
 
+// Guards against deciding by what was known when a command was proposed: which of a submission and
+// its cancelling came first shows where they are applied. Another caller's job stays.
+TEST(Ledger, tellsWhichOfASubmissionAndItsCancellingCameFirst)
+{
+    queue source;
+    source.host = "host";
+    const auto submit = [&](const std::string &id) {
+        return state.apply(accept_job {id, "tenant", source, {"work", {{}}, 1, 0, 0}, 10});
+    };
+    const auto cancel = [&](const std::string &owner, const std::string &id) {
+        return state.apply(record_cancellation {{source, owner, id}, 20});
+    };
+    CHECK_FALSE(failed(cancel("tenant", "a")));
+    const auto refused = submit("a");
+    CHECK_TRUE(failed(refused) && errorOf(refused).code == result_code::Cancelled);
+    CHECK_TRUE(state.findJob("a") == nullptr);
+    CHECK_FALSE(failed(submit("b")));
+    const auto known = cancel("tenant", "b");
+    CHECK_TRUE(failed(known) && errorOf(known).code == result_code::KeyReused);
+    CHECK_FALSE(failed(cancel("other", "b")));
+    CHECK_TRUE(state.findJob("b")->state == job_state::Queued);
+}
+
 // Guards against a leader that can't tell after a restart whose loss it was, and against a snapshot
 // that earlier versions can't read: what names the workers follows what they know.
 TEST(Ledger, snapshotRestoresTheWorkersOfSuspectedRuns)
--- a/packages/batch/test/service-test.cc
+++ b/packages/batch/test/service-test.cc
@@ -346,7 +346,6 @@
     job_spec spec;
     spec.steps = {leader_fixture::tasks(1, 1)};
     queues.cancel(leader.wallMs, {"host", "/q1/a", ""}, record);
-    leader.releaseHeld(); // the job isn't known
     queues.submit(leader.wallMs, {"host", "/q1/a", ""}, spec, record);
     CHECK_TRUE(codes == std::vector<result_code> {result_code::Cancelled});
     leader.releaseHeld();
@@ -361,6 +360,55 @@
     CHECK_TRUE(leader.stateOf("b") == job_state::Cancelled);
 }
 
+// Guards against a job that runs although its cancelling was answered as that of an unknown job:
+// its submission is handed in while the leader finds out that it isn't known.
+TEST(Service, submissionDuringACancellingLeavesNoJob)
+{
+    leader.configure(1);
+    service queues(leader.state, leader.workers,
+                   [&](const command &input, std::function<void(status)> done) {
+                       leader.heldCommits.emplace_back(input, std::move(done));
+                   });
+    std::vector<result_code> codes;
+    const auto record = [&](const status &done) {
+        codes.push_back(failed(done) ? errorOf(done).code : result_code::Ok);
+    };
+    job_spec spec;
+    spec.steps = {leader_fixture::tasks(1, 1)};
+    queues.cancel(leader.wallMs, {"host", "/q1/a", ""}, record);
+    queues.submit(leader.wallMs, {"host", "/q1/a", ""}, spec, record);
+    for (int i = 0; i < 4; ++i)
+        leader.releaseHeld();
+    CHECK_EQUAL(2, codes.size());
+    const auto *job = leader.state.findJob("a");
+    CHECK_TRUE(job == nullptr || job->state == job_state::Cancelled);
+}
+
+// Guards against a job that runs because its submission was committed just before its cancelling:
+// the cancelling isn't answered before the job is cancelled, and not at all if that fails.
+TEST(Service, jobAcceptedJustBeforeItsCancellingIsCancelled)
+{
+    leader.configure(1);
+    std::size_t cancelled = 0;
+    service queues(leader.state, leader.workers,
+                   [&](const command &input, const std::function<void(status)> &done) {
+                       if (std::holds_alternative<record_cancellation>(input))
+                           submitCode({"host", "/q1/a", ""}); // by a leader that was replaced
+                       if (!std::holds_alternative<cancel_job>(input) || ++cancelled > 1)
+                           return done(leader.commit(input));
+                       done(error {result_code::NoQuorum, "not committed", {}, {}});
+                   });
+    std::vector<result_code> codes;
+    const auto record = [&](const status &done) {
+        codes.push_back(failed(done) ? errorOf(done).code : result_code::Ok);
+    };
+    queues.cancel(leader.wallMs, {"host", "/q1/a", ""}, record);
+    CHECK_TRUE(codes.back() == result_code::OutcomeUnknown);
+    queues.cancel(leader.wallMs, {"host", "/q1/a", ""}, record);
+    CHECK_TRUE(codes.back() == result_code::Ok);
+    CHECK_TRUE(leader.stateOf("a") == job_state::Cancelled);
+}
+
 // Guards against a ledger that grows with each cancelling of an unknown job, and against one tenant
 // that takes the place of another.
 TEST(Service, cancellationsOfUnknownJobsAreBounded)
