Tell an order for a zone that a newer one has overtaken

Cause: orders for zones have neither a version nor an id. A scheduler that stood still reads an order from its buffers and passes it on, though its caller has given it again elsewhere and the opposite one after it; the leader takes orders as they come.

Change: an order counts only with a permit of the leader (its term, and the number of the newest order) that was issued before its scheduler saw that the caller still waits: its connection is open, also behind unread bytes, and the order can't be older than 750 ms. That is bounded by what the system says of the newest bytes and by the turns of the queue that reads connections, which stands still with the process. The leader refuses a permit once it has taken another order for the zone, or leads in another term. What may be old is answered 503. Orders that a scheduler of an earlier version passes on have no permit and are answered 503 as well.

--- a/packages/batch/include/batch/controller.h
+++ b/packages/batch/include/batch/controller.h
@@ -73,6 +73,9 @@
 
     bool isLeading() const { return term_ != 0; }
 
+    // Returns the term in which this node leads, or 0.
+    std::uint64_t term() const { return term_; }
+
     // Returns whether the last pass left work of priority 0 without a worker.
     bool hasWaitingUrgentWork() const { return hasWaitingUrgentUnits_; }
 
--- a/packages/batch/include/batch/service.h
+++ b/packages/batch/include/batch/service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "batch/controller.h"
+#include "batch/order_permits.h"
 
 #include <set>
 
@@ -79,6 +80,13 @@
     // Sets the availability zones that exist. While none are set, any zone can be evacuated.
     void setZones(std::vector<std::string> zones) { zones_ = std::move(zones); }
 
+    // Returns a permit to pass on an order for an availability zone. Fails with NotLeader.
+    result<order_permit> permitOrder();
+
+    // Fails with VersionConflict if another order for a zone was taken since a permit was issued.
+    // An order that was passed on with it must be checked right before it is carried out.
+    status checkPermit(const order_permit &permit, const std::string &zone);
+
     // Evacuates an availability zone: no task is started on its workers any more, and what runs
     // there goes on. Succeeds without effect if the zone is evacuated already. Fails with
     // InvalidValue if no such zone is configured and no worker has reported it, with NotReady
@@ -126,6 +134,7 @@
     controller &workers_;
     propose_function propose_;
     std::vector<std::string> zones_; // empty: not known
+    order_permits permits_; // for orders for zones
     std::multiset<job_address> cancelling_; // unknown jobs whose cancellations are being committed
 };
 
--- a/packages/batch/src/service.cc
+++ b/packages/batch/src/service.cc
@@ -399,6 +399,21 @@
     return unknown;
 }
 
+result<order_permit> service::permitOrder()
+{
+    if (!workers_.isLeading())
+        return error {result_code::NotLeader, "this node is not the leader", {}, {}};
+    return permits_.issue(workers_.term());
+}
+
+status service::checkPermit(const order_permit &permit, const std::string &zone)
+{
+    auto checked = permits_.check(permit, workers_.term(), zone);
+    if (failed(checked))
+        logEvent("zone.refused", {{"zone", zone}, {"outcome", errorOf(checked).detail}});
+    return checked;
+}
+
 void service::evacuateZone(std::int64_t wallMs, const std::string &zone,
                            std::function<void(status)> done)
 {
@@ -422,6 +437,7 @@
                  {{"zone", value.zone}, {"action", action}, {"outcome", errorOf(checked).detail}});
         return done(checked);
     }
+    permits_.take(workers_.term(), value.zone);
     const auto use = workers_.zoneUse(value.zone);
     logEvent("zone.proposed",
              {{"zone", value.zone},
--- a/packages/cluster/src/relay_client.cc
+++ b/packages/cluster/src/relay_client.cc
@@ -28,7 +28,7 @@
 {
     return code == result_code::MalformedRequest || code == result_code::InvalidValue
             || code == result_code::InvalidTable || code == result_code::KeyReused
-            || code == result_code::Cancelled;
+            || code == result_code::Cancelled || code == result_code::VersionConflict;
 }
 
 using connection = wire::rpc_connection<schema::Voter>;
--- a/packages/http/include/http/server.h
+++ b/packages/http/include/http/server.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,13 @@
     std::string value;
 };
 
+// What is known of the client of a request at some moment.
+struct client_state
+{
+    bool isConnected = false;
+    time_point newestArrival {}; // of the bytes that it has sent, where the system tells; or now
+};
+
 // A received request with its complete body.
 struct request
 {
@@ -29,10 +37,17 @@
     std::vector<header> headers;
     std::string body;
 
-    // The client had closed the connection when the request was read, so it gets no response. A
+    // The client had closed the connection when the request was read, so it gets no response. The
     // request may be old then, where this process stood still.
     bool isAbandoned = false;
 
+    // No part of the request arrived before this time; much later if the process has read it in
+    // time. Empty if the listener doesn't watch arrivals.
+    std::optional<time_point> arrivedAfter;
+
+    // Looks after the client again, and calls back on the thread of the loop.
+    std::function<void(std::function<void(const client_state &)>)> checkClient;
+
     // Returns the value of a header field (names are case-insensitive), or an empty string.
     std::string_view find(std::string_view name) const;
 };
@@ -75,6 +90,7 @@
     milliseconds timeout {30000}; // for receiving one request, and for sending one response
     milliseconds idleTimeout {120000}; // between two requests of a connection
     client_limits clients; // those of the first listener of a process hold
+    bool watchesArrivals = false; // whether requests tell since when they may have waited
     std::vector<header> refusalHeaders; // added to refusals by the listener itself
 };
 
--- a/packages/http/src/client_registry.cc
+++ b/packages/http/src/client_registry.cc
@@ -1,6 +1,7 @@
 #include "client_registry.h"
 
 #include "base/descriptors.h"
+#include "wire/event_loop.h"
 
 #include <boost/asio/strand.hpp>
 #include <pplx/threadpool.h>
@@ -13,6 +14,8 @@
 
 constexpr std::size_t maxDefaultClients = 8192;
 
+constexpr milliseconds arrivalTickPeriod {20};
+
 std::size_t maxClientsOf(const client_limits &limits)
 {
     if (limits.maxConnections > 0)
@@ -32,6 +35,7 @@
 client_registry::client_registry(const client_limits &limits)
     : strand_(boost::asio::make_strand(crossplat::threadpool::shared_instance().service()))
     , table_({maxClientsOf(limits), limits.maxHeldBytes})
+    , arrivalTimer_(strand_)
 {
 }
 
@@ -59,7 +63,31 @@
 
 time_point client_registry::now()
 {
-    return std::chrono::time_point_cast<time_point::duration>(std::chrono::steady_clock::now());
+    return wire::monotonicNow();
+}
+
+void client_registry::watchArrivals()
+{
+    if (arrivals_)
+        return;
+    arrivals_.emplace(now());
+    tickLater();
+}
+
+std::optional<time_point> client_registry::arrivedAfter() const
+{
+    return arrivals_ ? std::optional(arrivals_->arrivedAfter()) : std::nullopt;
+}
+
+void client_registry::tickLater()
+{
+    arrivalTimer_.expires_after(arrivalTickPeriod);
+    arrivalTimer_.async_wait([this](const boost::system::error_code &failure) {
+        if (failure)
+            return;
+        arrivals_->tick(now());
+        tickLater();
+    });
 }
 
 std::shared_ptr<connection> client_registry::find(client_id id) const
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -9,6 +9,10 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+
 #include <algorithm>
 
 namespace persimmon::http {
@@ -79,6 +83,16 @@
     return text;
 }
 
+// Returns the time since the last bytes of the peer arrived, or zero if the system doesn't tell.
+milliseconds sinceLastBytes(int socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return milliseconds {0};
+    return milliseconds {info.tcpi_last_data_recv};
+}
+
 request_limits limitsOf(const server_options &options)
 {
     request_limits limits;
@@ -181,9 +195,18 @@
         return awaitBytes();
     if (failure)
         return close();
+    noteArrival();
     process({buffer.data(), count});
 }
 
+// Requests that came before the last response was sent may have come with the request before them.
+void connection::noteArrival()
+{
+    const auto bound = registry_.arrivedAfter();
+    if (!receiving_ && bound && (!arrivedAfter_ || *bound >= readingSince_))
+        arrivedAfter_ = bound;
+}
+
 void connection::process(std::string_view bytes)
 {
     const auto outcome = reader_.feed(bytes);
@@ -212,20 +235,39 @@
     socket_.write_some(net::buffer(interimResponse), ignored);
 }
 
-// Returns whether the client has closed the connection after what was read. A client that closes
-// only its own direction is taken for gone as well.
+// Returns whether the client has closed the connection, also behind bytes that weren't read. A
+// client that closes only its own direction is taken for gone as well.
 bool connection::isClosedByClient()
 {
+    pollfd item {socket_.native_handle(), POLLIN | POLLRDHUP, 0};
+    if (::poll(&item, 1, 0) == 0)
+        return false;
+    if ((item.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0)
+        return true;
     char next = 0;
     error_code failure;
     socket_.receive(net::buffer(&next, sizeof(next)), socket::message_peek, failure);
     return failure == net::error::eof || failure == net::error::connection_reset;
 }
 
+client_state connection::currentState()
+{
+    const auto now = client_registry::now();
+    return {stage_ == stage::Answering && !isClosedByClient(),
+            now - sinceLastBytes(socket_.native_handle())};
+}
+
 void connection::dispatch()
 {
     auto complete = reader_.take();
     complete.isAbandoned = isClosedByClient();
+    complete.arrivedAfter = arrivedAfter_;
+    complete.checkClient = [weak = weak_from_this(), strand = registry_.strand()](auto callback) {
+        net::post(strand, [weak, callback = std::move(callback)] {
+            const auto client = weak.lock();
+            callback(client ? client->currentState() : client_state {});
+        });
+    };
     isHead_ = complete.method == "HEAD";
     receiving_ = true;
     registry_.setPhase(id_, client_phase::Receiving);
@@ -269,6 +311,7 @@
         return close();
     setStage(stage::Reading, client_phase::Idle);
     setDeadline(options_.idleTimeout);
+    readingSince_ = client_registry::now();
     registry_.setHeldBytes(id_, reader_.heldBytes());
     process({});
 }
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace persimmon::http {
@@ -60,8 +61,10 @@
     void refuse(const error &reason);
     void count(client_cause cause) const;
     void discard();
+    void noteArrival();
     void process(std::string_view bytes);
     bool isClosedByClient();
+    client_state currentState();
     void dispatch();
     void answer(const response &value);
     void send(const response &value, bool closeAfter);
@@ -82,6 +85,8 @@
     bool finishing_ = false;
     bool isHead_ = false; // the request that is being answered has the method HEAD
     bool receiving_ = false; // the first byte of a request has arrived
+    std::optional<time_point> arrivedAfter_; // bound for the bytes of the request
+    time_point readingSince_ {}; // time of the last response
     std::string output_;
     std::size_t discarded_ = 0;
     bool waiting_ = false; // for bytes of the client
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -68,7 +68,11 @@
         socket_.set_option(net::socket_base::send_buffer_size(socketBufferBytes), ignored);
         socket_.bind(endpoint);
         socket_.listen(net::socket_base::max_listen_connections);
-        net::post(strand(), [self = shared_from_this()] { self->accept(); });
+        net::post(strand(), [self = shared_from_this()] {
+            if (self->options_.watchesArrivals)
+                self->registry_.watchArrivals();
+            self->accept();
+        });
     }
 
     // Stops listening. The promise is fulfilled once all requests in progress are answered.
@@ -145,6 +149,12 @@
     // Passes a request to the handler on the thread of the loop.
     void pass(request value, server::reply reply)
     {
+        value.checkClient
+                = [self = shared_from_this(), check = std::move(value.checkClient)](auto callback) {
+                      check([self, callback = std::move(callback)](const client_state &state) {
+                          self->loop_.post([callback, state] { callback(state); });
+                      });
+                  };
         auto shared = std::make_shared<request>(std::move(value));
         loop_.post([self = shared_from_this(), shared, reply = std::move(reply)] {
             try {
--- a/packages/http/test/listener-test.cc
+++ b/packages/http/test/listener-test.cc
@@ -1,7 +1,10 @@
 // Connections of the listener: what arrives, in which order, and what a planned stop does.
+#include "client_registry.h"
 #include "http/server.h"
 #include "raw_client.h"
 
+#include <boost/asio/post.hpp>
+
 #include <functional>
 #include <future>
 #include <thread>
@@ -37,12 +40,14 @@
     std::vector<http::server::reply> kept; // replies to /keep
     std::size_t handled = 0;
     std::size_t abandoned = 0; // of them, those whose client was gone
+    http::request newest;
 
     void setup() override
     {
         http::server_options options;
         options.address = "127.0.0.1:" + std::to_string(port);
         options.refusalHeaders = {{"Outcome", "not_run"}};
+        options.watchesArrivals = true;
         auto outcome = http::server::listen(
                 loop, options, [this](const http::request &request, http::server::reply reply) {
                     handle(request, std::move(reply));
@@ -54,12 +59,14 @@
     void teardown() override
     {
         kept.clear();
+        newest = {};
     }
 
     void handle(const http::request &request, http::server::reply reply)
     {
         ++handled;
         abandoned += request.isAbandoned ? 1 : 0;
+        newest = request;
         if (request.path == "/keep")
             kept.push_back(std::move(reply));
         else if (request.path == "/twice")
@@ -106,6 +113,34 @@
             std::this_thread::sleep_for(milliseconds {10});
         }
     }
+
+    // Returns what is known of the client of the newest request. Must not be called on the loop.
+    http::client_state checkClient()
+    {
+        std::promise<http::client_state> checked;
+        loop.post([&] {
+            newest.checkClient([&](const http::client_state &state) { checked.set_value(state); });
+        });
+        return checked.get_future().get();
+    }
+
+    // Returns for how long the newest request may have waited.
+    milliseconds waitedFor()
+    {
+        std::promise<milliseconds> known;
+        loop.post([&] {
+            known.set_value(std::chrono::duration_cast<milliseconds>(
+                    wire::monotonicNow() - newest.arrivedAfter.value_or(time_point {})));
+        });
+        return known.get_future().get();
+    }
+
+    // Keeps the connections from being read for a while, like a pause of the process.
+    static void blockConnections(milliseconds time)
+    {
+        boost::asio::post(http::client_registry::instance({}).strand(),
+                          [time] { std::this_thread::sleep_for(time); });
+    }
 };
 
 // Guards against requests that are lost, or answered out of order, because they came together.
@@ -132,6 +167,81 @@
     LONGS_EQUAL(1, abandoned);
 }
 
+// Guards against a client that is taken for waiting because its next request hides that it has
+// left.
+TEST(http_listener, tellsThatTheClientIsGoneBehindItsNextRequest)
+{
+    bool isConnected = true;
+    runBeside([&] {
+        blockConnections(milliseconds {100});
+        raw_client client(port);
+        client.sendAndClose(get("/keep") + get("/b"));
+        waitForRequests(1);
+        isConnected = checkClient().isConnected;
+    });
+    LONGS_EQUAL(1, abandoned);
+    CHECK_FALSE(isConnected);
+}
+
+// Guards against a request that is carried out although its client has left after it was read, and
+// against one whose client is taken for gone while it waits.
+TEST(http_listener, tellsThatTheClientLeavesBeforeItsResponse)
+{
+    std::optional<http::client_state> waiting;
+    std::optional<http::client_state> left;
+    runBeside([&] {
+        {
+            const raw_client client(port);
+            client.send(get("/keep"));
+            waitForRequests(1);
+            waiting = checkClient();
+        }
+        left = checkClient();
+    });
+    CHECK_TRUE(waiting->isConnected);
+    CHECK_FALSE(left->isConnected);
+    LONGS_EQUAL(0, abandoned);
+}
+
+// Guards against a request that is taken for new because it is read now, although it arrived while
+// the process stood still, and against one that is taken for old without a pause.
+TEST(http_listener, tellsSinceWhenARequestMayHaveWaited)
+{
+    constexpr milliseconds pause {600};
+    milliseconds withPause {};
+    milliseconds withoutPause {};
+    runBeside([&] {
+        std::this_thread::sleep_for(milliseconds {200});
+        blockConnections(pause);
+        exchangeBeside(get("/a", "Connection: close\r\n"));
+        withPause = waitedFor();
+        std::this_thread::sleep_for(milliseconds {300});
+        exchangeBeside(get("/b", "Connection: close\r\n"));
+        withoutPause = waitedFor();
+    });
+    CHECK_TRUE(withPause >= pause);
+    CHECK_TRUE(withoutPause < pause);
+}
+
+// Guards against a request that waits behind another one of its connection, and is taken for new
+// because it is read only after the response to that one.
+TEST(http_listener, requestBehindAnotherOneMayHaveWaitedAsLong)
+{
+    constexpr milliseconds timeOfFirst {700};
+    milliseconds waited {};
+    runBeside([&] {
+        std::this_thread::sleep_for(milliseconds {200});
+        const raw_client client(port);
+        client.send(get("/keep") + get("/b", "Connection: close\r\n"));
+        waitForRequests(1);
+        std::this_thread::sleep_for(timeOfFirst);
+        loop.post([&] { kept.back()({200, "", {}, "kept"}); });
+        client.receiveAll();
+        waited = waitedFor();
+    });
+    CHECK_TRUE(waited >= timeOfFirst);
+}
+
 // Guards against a body in the response to HEAD, which the client takes for the next response.
 TEST(http_listener, sendsNoBodyToHead)
 {
--- a/packages/system/test/evacuation-test.cc
+++ b/packages/system/test/evacuation-test.cc
@@ -2,6 +2,8 @@
 // schedulers.
 #include "batch_system.h"
 
+#include <array>
+
 using namespace persimmon;
 using namespace persimmon::system_test;
 
@@ -13,6 +15,35 @@
 // Time in which the order reaches the sockets of the followers.
 constexpr milliseconds appendTime {200};
 
+// Longer than callers wait for an answer before they call another scheduler, and than a lease.
+constexpr milliseconds standstill {2000};
+constexpr milliseconds shortStandstill {300};
+
+// Time in which a scheduler that goes on reads what it finds.
+constexpr milliseconds catchUpTime {1500};
+
+// How long the caller of an old order keeps its connection: it leaves, or stays beyond the pause.
+constexpr std::array<milliseconds, 2> patiences {standstill / 2, standstill * 4};
+
+// An old order for a zone and the one that overtakes it.
+struct order_pair
+{
+    std::string old;
+    std::string newer;
+};
+
+const order_pair restoring {"DELETE", "POST"};
+const order_pair evacuating {"POST", "DELETE"};
+
+// Schedulers of a test: the one that stands still, the one that gets the old order, and the one
+// that is called instead.
+struct scheduler_roles
+{
+    int frozen;
+    int asked;
+    int other;
+};
+
 } // namespace
 
 // Workers 0 and 1 are in the zone north, 2 and 3 in the zone south.
@@ -72,6 +103,38 @@
             FAIL(violation.c_str());
     }
 
+    // Number of orders that leaders have carried out.
+    std::size_t ordersObeyed() const
+    {
+        const auto lines = system.logLines("event=zone.set", "outcome=ok");
+        return static_cast<std::size_t>(std::ranges::count(lines, '\n'));
+    }
+
+    // Gives an order while a scheduler stands still, and then, elsewhere, the same one again and a
+    // newer one. Only these may be obeyed, and the newer one must be confirmed again at once.
+    void expectOvertaken(const scheduler_roles &roles, const std::string &old,
+                         const std::string &newer, milliseconds patience)
+    {
+        CHECK_TRUE(isConfirmed(roles.other, newer));
+        system.signalScheduler(roles.frozen, SIGSTOP);
+        auto late = std::async(std::launch::async, [&] {
+            return call(system.schedulerAddress(roles.asked), old, "/drain/north", {}, {}, patience)
+                    .status;
+        });
+        std::this_thread::sleep_for(standstill);
+        CHECK_TRUE(isConfirmed(roles.other, old));
+        CHECK_TRUE(isConfirmed(roles.other, newer));
+        const bool wasAnswered = late.wait_for(milliseconds {0}) == std::future_status::ready;
+        const auto obeyed = ordersObeyed();
+        system.signalScheduler(roles.frozen, SIGCONT);
+        CHECK_TRUE(isConfirmed(roles.frozen, newer));
+        CHECK_TRUE(wasAnswered || late.get() != 200);
+        std::this_thread::sleep_for(catchUpTime);
+        CHECK_EQUAL(obeyed + 1, ordersObeyed());
+        const bool isEvacuated = system.control({"zones"}).find("north  2") != std::string::npos;
+        CHECK_EQUAL(newer == "POST", isEvacuated); // a year stands behind it, or nothing
+    }
+
     void expectNoStartsInTheZone()
     {
         fleet.evacuatedZones["north"] = nowMs();
@@ -124,6 +187,51 @@
     CHECK_TRUE(isConfirmed(other, "DELETE"));
 }
 
+// Guards against an order that a scheduler finds after it has stood still and passes on, although
+// it was given again elsewhere and a newer one was confirmed.
+TEST(ZoneEvacuation, orderThatAFollowerFindsAfterAPauseIsNotObeyed)
+{
+    const auto leading = findLeader();
+    const auto other = (leading + 1) % schedulers;
+    const auto frozen = (leading + 2) % schedulers;
+    for (const auto &[old, newer] : {restoring, evacuating}) {
+        for (const auto patience : patiences)
+            expectOvertaken({frozen, frozen, other}, old, newer, patience);
+    }
+}
+
+// Guards against the same by the leader, which is replaced meanwhile, and reads the order of its
+// caller, or of another scheduler, after it.
+TEST(ZoneEvacuation, orderThatALeaderFindsAfterAPauseIsNotObeyed)
+{
+    for (const auto &[old, newer] : {restoring, evacuating}) {
+        const auto frozen = findLeader();
+        const auto other = (frozen + 1) % schedulers;
+        const auto patience = newer == restoring.newer ? patiences.front() : patiences.back();
+        expectOvertaken({frozen, frozen, other}, old, newer, patience);
+        const auto relayed = findLeader();
+        expectOvertaken({relayed, (relayed + 2) % schedulers, (relayed + 1) % schedulers}, old,
+                        newer, patience);
+    }
+}
+
+// Guards against an order that its caller hears nothing of because its scheduler stands still for
+// less than the caller waits, and that isn't confirmed, or twice, once it goes on.
+TEST(ZoneEvacuation, orderInAShortPauseIsConfirmed)
+{
+    const auto leading = findLeader();
+    for (const auto frozen : {leading, (leading + 1) % schedulers}) {
+        for (const auto *method : {"POST", "DELETE"}) {
+            system.signalScheduler(frozen, SIGSTOP);
+            auto answer
+                    = std::async(std::launch::async, [&] { return isConfirmed(frozen, method); });
+            std::this_thread::sleep_for(shortStandstill);
+            system.signalScheduler(frozen, SIGCONT);
+            CHECK_TRUE(answer.get());
+        }
+    }
+}
+
 // Guards against a job that waits because its zone is evacuated and whose explanation, log lines
 // and metrics don't say so.
 TEST(ZoneEvacuation, waitForAZoneIsTraceable)
--- a/packages/wire/include/wire/event_loop.h
+++ b/packages/wire/include/wire/event_loop.h
@@ -9,6 +9,9 @@
 
 namespace persimmon::wire {
 
+// Returns the current monotonic time, which includes time in suspension. Callable from any thread.
+time_point monotonicNow();
+
 // Event loop of a process: one thread that runs all state machines, timers, work posted by other
 // threads and Cap'n Proto RPC. All members except post() and stop() must be called on the thread
 // that created the loop.
@@ -33,7 +36,7 @@
 
     timer_service &timers();
 
-    // Returns the current monotonic time, which includes time in suspension.
+    // Returns monotonicNow().
     time_point now() const;
 
     // Returns the I/O context of the loop, for RPC connections.
--- a/packages/wire/src/event_loop.cc
+++ b/packages/wire/src/event_loop.cc
@@ -12,11 +12,8 @@
 
 namespace persimmon::wire {
 
-namespace {
-
-// Monotonic time that also advances while the machine is suspended, so that a leader's lease can't
-// outlast a suspension.
-time_point steadyNow()
+// Advances while the machine is suspended, so that a leader's lease can't outlast a suspension.
+time_point monotonicNow()
 {
     timespec value {};
     ::clock_gettime(CLOCK_BOOTTIME, &value);
@@ -24,16 +21,18 @@
                        + std::chrono::microseconds {value.tv_nsec / 1000}};
 }
 
+namespace {
+
 // Timer service that reads the monotonic clock and notifies the loop when a timer is added.
 class loop_timer_service : public manual_timer_service
 {
 public:
     loop_timer_service()
-        : manual_timer_service(steadyNow())
+        : manual_timer_service(monotonicNow())
     {
     }
 
-    time_point now() const override { return steadyNow(); }
+    time_point now() const override { return monotonicNow(); }
 
     subscription every(milliseconds period, callback subscriber) override
     {
@@ -169,7 +168,7 @@
         if (runningTimers_ || due == time_point::max() || due >= armedFor_)
             return;
         armedFor_ = due;
-        const auto delay = std::max(due - steadyNow(), std::chrono::microseconds {0});
+        const auto delay = std::max(due - monotonicNow(), std::chrono::microseconds {0});
         const auto generation = ++timerGeneration_;
         tasks_.add(io_.provider->getTimer()
                            .afterDelay(delay.count() * kj::MICROSECONDS)
@@ -182,7 +181,7 @@
             return;
         armedFor_ = time_point::max();
         runningTimers_ = true;
-        const auto now = steadyNow();
+        const auto now = monotonicNow();
         while (!runGuarded("a timer", [this, now] { timers_.advanceTo(now); })) { }
         runningTimers_ = false;
         armTimer();
@@ -232,7 +231,7 @@
 
 time_point event_loop::now() const
 {
-    return steadyNow();
+    return monotonicNow();
 }
 
 kj::AsyncIoContext &event_loop::io()
