Refuse old orders for voters and drains

These orders have no version; tables name the one that they change.

Change: a POST is answered 503 (not_ready) if its client has closed the connection or it may be older than 1.5 s; persimmonctl waits two seconds for a voter. It is logged with its age.

Result: operator_api refusesOrdersThatMayBeOld fails without the check ("expected <503> but was <200>"), and passes with it; apps-test 52 passed. Found by reading, not seen on real processes.

--- a/packages/apps/include/apps/operator_api.h
+++ b/packages/apps/include/apps/operator_api.h
@@ -58,6 +58,7 @@
     void getReadiness(const http::request &, std::string_view, const http::server::reply &);
     void getMetrics(const http::request &, std::string_view, const http::server::reply &);
 
+    bool mayBeOutdated(const http::request &request) const;
     http::response errorResponse(const error &reason) const;
 
     voter &voter_;
--- a/packages/apps/src/control_program.cc
+++ b/packages/apps/src/control_program.cc
@@ -117,8 +117,10 @@
             transport_.requestDrain(id, done);
         };
         api_ = std::make_unique<operator_api>(*voter_, metrics_, std::move(hooks));
+        auto serverOptions = http::serverOptions(values);
+        serverOptions.watchesArrivals = true;
         auto listener = http::server::listen(
-                loop_, http::serverOptions(values),
+                loop_, serverOptions,
                 [this](const http::request &request, const http::server::reply &reply) {
                     api_->handle(request, reply);
                 });
--- a/packages/apps/src/operator_api.cc
+++ b/packages/apps/src/operator_api.cc
@@ -14,6 +14,9 @@
 
 constexpr std::size_t maxChangeIdLength = 128;
 
+// Clients wait for two seconds at least before they try another voter.
+constexpr milliseconds maxOrderAge {1500};
+
 http::response jsonResponse(std::string body)
 {
     http::response answer;
@@ -114,6 +117,11 @@
             return;
         }
     }
+    // Other changes name the version that they change.
+    if (request.method == "POST" && mayBeOutdated(request)) {
+        reply(errorResponse({result_code::NotReady, "the order may be old", {}, {}}));
+        return;
+    }
     const auto id = matched->path.ends_with('/')
             ? std::string_view(request.path).substr(matched->path.size())
             : std::string_view {};
@@ -131,6 +139,21 @@
     });
 }
 
+// An order that has no version may have waited for longer than its client, who has given it again
+// to another voter since, and perhaps a newer one.
+bool operator_api::mayBeOutdated(const http::request &request) const
+{
+    const auto now = voter_.now();
+    const auto age = now - request.arrivedAfter.value_or(now);
+    if (!request.isAbandoned && age <= maxOrderAge)
+        return false;
+    logFor("operator")
+            ->info("refused {} {}, which may be {} ms old{}", request.method, request.path,
+                   std::chrono::duration_cast<milliseconds>(age).count(),
+                   request.isAbandoned ? " and whose client is gone" : "");
+    return true;
+}
+
 void operator_api::getTables(const http::request &request, std::string_view,
                              const http::server::reply &reply)
 {
--- a/packages/apps/test/operator-api-test.cc
+++ b/packages/apps/test/operator-api-test.cc
@@ -161,6 +161,27 @@
     LONGS_EQUAL(1, shutDowns);
 }
 
+// Guards against an order that a voter finds after it has stood still and obeys, although its
+// client has given it again to another voter since, and perhaps the opposite one.
+TEST(operator_api, refusesOrdersThatMayBeOld)
+{
+    test_voter leader(1);
+    leader.runFor(milliseconds {1000});
+    for (const auto *path : {"/v1/drain/voter-1", "/v1/voters"}) {
+        auto order = requestOf("POST", path, R"({"action":"remove","id":2})");
+        order.arrivedAfter = leader.member->now() - milliseconds {2000};
+        LONGS_EQUAL(503, handleRequest(leader, order).status);
+        order.arrivedAfter = leader.member->now();
+        order.isAbandoned = true;
+        LONGS_EQUAL(503, handleRequest(leader, order).status);
+    }
+    LONGS_EQUAL(0, shutDowns);
+    auto order = requestOf("POST", "/v1/drain/voter-1");
+    order.arrivedAfter = leader.member->now() - milliseconds {100};
+    LONGS_EQUAL(200, handleRequest(leader, order).status);
+    LONGS_EQUAL(1, shutDowns);
+}
+
 TEST(operator_api, validatesVoterChanges)
 {
     const auto codeOf = [](std::string_view body) {
