Take a request after a response for new

Change: when a response is sent and nothing is left unread, what comes later has arrived later. Only bytes that were unread then keep the bound of the request before them.

--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -199,12 +199,25 @@
     process({buffer.data(), count});
 }
 
-// Requests that came before the last response was sent may have come with the request before them.
+// Bytes that were left unread while a request was answered may have come along with it.
 void connection::noteArrival()
 {
     const auto bound = registry_.arrivedAfter();
-    if (!receiving_ && bound && (!arrivedAfter_ || *bound >= readingSince_))
-        arrivedAfter_ = bound;
+    const bool mayBeEarlier = std::exchange(leftUnread_, false);
+    if (bound && !receiving_ && !mayBeEarlier)
+        arrivedAfter_ = std::max(arrivedAfter_.value_or(*bound), *bound);
+}
+
+// What is read later arrives later, if nothing is left unread after a response.
+void connection::noteUnread()
+{
+    if (!arrivedAfter_ || stage_ != stage::Reading || receiving_)
+        return;
+    const auto now = client_registry::now();
+    error_code failure;
+    leftUnread_ = socket_.available(failure) > 0 || failure.failed();
+    if (!leftUnread_)
+        arrivedAfter_ = now;
 }
 
 void connection::process(std::string_view bytes)
@@ -311,9 +324,9 @@
         return close();
     setStage(stage::Reading, client_phase::Idle);
     setDeadline(options_.idleTimeout);
-    readingSince_ = client_registry::now();
     registry_.setHeldBytes(id_, reader_.heldBytes());
     process({});
+    noteUnread();
 }
 
 void connection::count(client_cause cause) const
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -62,6 +62,7 @@
     void count(client_cause cause) const;
     void discard();
     void noteArrival();
+    void noteUnread();
     void process(std::string_view bytes);
     bool isClosedByClient();
     client_state currentState();
@@ -86,7 +87,7 @@
     bool isHead_ = false; // the request that is being answered has the method HEAD
     bool receiving_ = false; // the first byte of a request has arrived
     std::optional<time_point> arrivedAfter_; // bound for the bytes of the request
-    time_point readingSince_ {}; // time of the last response
+    bool leftUnread_ = false; // bytes that arrived before the last response was sent
     std::string output_;
     std::size_t discarded_ = 0;
     bool waiting_ = false; // for bytes of the client
--- a/packages/http/test/listener-test.cc
+++ b/packages/http/test/listener-test.cc
@@ -242,6 +242,24 @@
     CHECK_TRUE(waited >= timeOfFirst);
 }
 
+// Guards against requests that are taken for old because the first one of their connection is, or
+// because they follow each other closely.
+TEST(http_listener, requestAfterAResponseIsNew)
+{
+    constexpr milliseconds limit {600};
+    milliseconds waited {};
+    runBeside([&] {
+        const raw_client client(port);
+        const auto end = std::chrono::steady_clock::now() + limit * 2;
+        while (std::chrono::steady_clock::now() < end) {
+            client.send(get("/a"));
+            client.receiveUntil("/a0");
+        }
+        waited = waitedFor();
+    });
+    CHECK_TRUE(waited < limit);
+}
+
 // Guards against a body in the response to HEAD, which the client takes for the next response.
 TEST(http_listener, sendsNoBodyToHead)
 {
